--- /dev/null
+++ b/src/benchlink/host.h
@@ -0,0 +1,36 @@
+// Hosts one Gateway for each instance that the simulator runs in this process.
+#pragma once
+
+#include <array>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "codec.h"
+#include "gateway.h"
+
+namespace sablelink::benchlink {
+
+class Host {
+ public:
+  // Handles one batch (the body after its header) and returns the reply frame. Throws WireError.
+  std::string handle(TimeUs now, std::string_view body);
+
+ private:
+  struct Instance {
+    Gateway gateway;
+    bool tells_cost;
+    std::vector<std::string> fields;
+  };
+
+  void handle_record(TimeUs now, EventCode code, WireReader& in);
+  void open(TimeUs now, WireReader& in);
+  Instance* current();
+
+  std::map<uint16_t, Instance> instances_;
+  std::array<std::vector<EngineEntry>, 16> ledgers_;
+  ReplyWriter reply_;
+  int who_ = -1;
+};
+
+}  // namespace sablelink::benchlink
--- /dev/null
+++ b/src/settings.cpp
@@ -0,0 +1,194 @@
+#include "settings.h"
+
+#include <cerrno>
+#include <cmath>
+#include <cstdlib>
+#include <functional>
+#include <map>
+#include <string>
+
+namespace sablelink {
+namespace {
+
+using Pairs = std::map<std::string, std::string, std::less<>>;
+
+Pairs split_pairs(std::string_view text) {
+  Pairs pairs;
+  while (!text.empty()) {
+    const size_t end = text.find('\n');
+    std::string_view line = text.substr(0, end);
+    text = end == std::string_view::npos ? std::string_view() : text.substr(end + 1);
+    if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
+    const size_t eq = line.find('=');
+    if (eq != std::string_view::npos) pairs[std::string(line.substr(0, eq))] = line.substr(eq + 1);
+  }
+  return pairs;
+}
+
+std::vector<std::string> split_list(std::string_view text) {
+  std::vector<std::string> items;
+  while (!text.empty()) {
+    const size_t comma = text.find(',');
+    items.emplace_back(text.substr(0, comma));
+    text = comma == std::string_view::npos ? std::string_view() : text.substr(comma + 1);
+  }
+  return items;
+}
+
+double to_number(const std::string& key, const std::string& value) {
+  char* end = nullptr;
+  errno = 0;
+  const double number = std::strtod(value.c_str(), &end);
+  if (value.empty() || *end != '\0' || errno == ERANGE || !std::isfinite(number)) {
+    throw SettingsError("settings: " + key + " is not a number: '" + value + "'");
+  }
+  return number;
+}
+
+bool to_bool(const std::string& key, const std::string& value) {
+  if (value == "true") return true;
+  if (value == "false") return false;
+  throw SettingsError("settings: " + key + " is neither true nor false: '" + value + "'");
+}
+
+// Reads typed values by key and leaves the target alone where the key is missing or empty.
+class Reader {
+ public:
+  explicit Reader(std::string_view text) : pairs_(split_pairs(text)) {}
+
+  const std::string* find(const std::string& key) const {
+    const auto it = pairs_.find(key);
+    return it == pairs_.end() || it->second.empty() ? nullptr : &it->second;
+  }
+  bool has(const std::string& key) const { return find(key) != nullptr; }
+
+  template <typename T>
+  void number(const std::string& key, T& out) const {
+    if (const std::string* v = find(key)) out = static_cast<T>(to_number(key, *v));
+  }
+  void flag(const std::string& key, bool& out) const {
+    if (const std::string* v = find(key)) out = to_bool(key, *v);
+  }
+  template <typename T>
+  void numbers(const std::string& key, std::vector<T>& out) const {
+    if (const std::string* v = find(key)) {
+      out.clear();
+      for (const std::string& item : split_list(*v)) out.push_back(static_cast<T>(to_number(key, item)));
+    }
+  }
+  template <typename T>
+  void word(const std::string& key, const std::map<std::string, T>& words, T& out) const {
+    const std::string* v = find(key);
+    if (v == nullptr) return;
+    const auto it = words.find(*v);
+    if (it == words.end()) throw SettingsError("settings: " + key + " has an unknown value: '" + *v + "'");
+    out = it->second;
+  }
+  // Kinds and zones may be listed by index or by name; names lists them in order.
+  void indices(const std::string& key, const std::string& names_key, std::vector<int>& out) const {
+    const std::string* v = find(key);
+    if (v == nullptr) return;
+    const std::string* known = find(names_key);
+    const std::vector<std::string> names = split_list(known ? *known : "");
+    for (const std::string& item : split_list(*v)) {
+      size_t i = 0;
+      while (i < names.size() && names[i] != item) ++i;
+      out.push_back(i < names.size() ? static_cast<int>(i) : static_cast<int>(to_number(key, item)));
+    }
+  }
+
+ private:
+  Pairs pairs_;
+};
+
+void read_class(const Reader& in, int index, ClassSettings& c) {
+  const std::string p = "Services." + std::to_string(index) + ".";
+  if (!in.has(p + "AimUs") || !in.has(p + "DeadlineUs")) {
+    throw SettingsError("settings: " + p + (in.has(p + "AimUs") ? "DeadlineUs" : "AimUs") + " is missing");
+  }
+  in.number(p + "AimUs", c.aim_us);
+  in.number(p + "AimStretch", c.aim_stretch);
+  in.number(p + "DeadlineUs", c.deadline_us);
+  in.number(p + "Worth", c.worth);
+  in.number(p + "LateWorth", c.late_worth);
+  in.word(p + "Repeat",
+          {{"retryable", Repeat::kRetryable}, {"dedup", Repeat::kDedup}, {"fragile", Repeat::kFragile}},
+          c.repeat);
+  in.word(p + "KeyScope", {{"all", KeyScope::kAll}, {"zone", KeyScope::kZone}, {"cell", KeyScope::kCell}},
+          c.key_scope);
+  in.number(p + "WindowUs", c.window_us);
+  in.flag(p + "Stream", c.stream);
+  in.flag(p + "ByArrival", c.in_order);
+  in.indices(p + "StaysIn", "Zones", c.only_zones);
+  in.indices(p + "RunsOn", "Flavors", c.only_kinds);
+}
+
+}  // namespace
+
+Settings parse_settings(std::string_view text) {
+  const Reader in(text);
+  Settings s;
+  int classes = 0;
+  in.number("Services.count", classes);
+  if (classes <= 0 || classes > 65536)
+    throw SettingsError("settings: Services.count is missing or not usable");
+  s.classes.resize(classes);
+  std::vector<double> threads;
+  in.numbers("Extra.ThreadsByClass", threads);
+  std::vector<std::string> writes, waits;
+  if (const std::string* v = in.find("Extra.WritesTables")) writes = split_list(*v);
+  if (const std::string* v = in.find("Extra.WaitsForLoads")) waits = split_list(*v);
+  for (int i = 0; i < classes; ++i) {
+    ClassSettings& c = s.classes[i];
+    read_class(in, i, c);
+    if (i < static_cast<int>(threads.size())) c.threads = threads[i];
+    if (i < static_cast<int>(writes.size())) c.writes_tables = to_bool("Extra.WritesTables", writes[i]);
+    if (i < static_cast<int>(waits.size())) c.waits_for_loads = to_bool("Extra.WaitsForLoads", waits[i]);
+  }
+  in.number("Instances", s.instances);
+  in.number("SelfIndex", s.self_index);
+  in.number("Zone", s.zone);
+  in.number("TickUs", s.tick_us);
+  in.word("Discovery", {{"automatic", false}, {"subscribe", true}}, s.subscribe_discovery);
+  in.numbers("Extra.KindCores", s.kind_cores);
+  in.numbers("Extra.SizeMb", s.kind_memory_mb);
+  in.number("Extra.MostGrant", s.most_grant);
+  in.flag("Extra.Grants", s.grants_heeded);
+  in.flag("Extra.TakesPriority", s.priorities_heeded);
+  in.flag("Extra.SaysCost", s.tells_cost);
+  in.number("Extra.TellsEveryUs", s.progress_every_us);
+  in.word("Extra.MemoryShort",
+          {{"line_up", MemoryShort::kLineUp},
+           {"cut", MemoryShort::kCut},
+           {"overcommit", MemoryShort::kOvercommit}},
+          s.memory_short);
+  in.flag("Limits.Cancel", s.may_cancel);
+  in.flag("Limits.Probes", s.may_probe);
+  in.flag("Limits.Peers", s.may_tell_peers);
+  in.flag("Limits.SecondCopies", s.second_copies);
+  in.flag("Limits.RetryAfter", s.retry_after_heeded);
+  in.number("Limits.MaxRetryAfterUs", s.max_retry_after_us);
+  in.number("Limits.MaxAttempts", s.max_attempts);
+  in.number("Rules.AnswerSlackUs", s.answer_slack_us);
+  in.number("Rules.DrainGraceUs", s.drain_grace_us);
+  in.number("Rules.AskWithinUs", s.ask_within_us);
+  in.number("Rules.ColdFrom", s.cold_from);
+  in.number("Rules.FallMultiple", s.fall_multiple);
+  in.number("Rules.FallUs", s.fall_us);
+  in.number("Rules.WarmAfterUs", s.warm_after_us);
+  in.number("Rules.TurnGapUs", s.turn_gap_us);
+  s.attempts_rationed = in.has("Rules.CountedOverUs");
+  in.number("Rules.BudgetFree", s.budget_free);
+  in.number("Rules.ExtraPerRequest", s.budget_per_request);
+  in.number("Rules.CountedOverUs", s.budget_window_us);
+  in.number("Fees.CrossZone", s.cross_zone_fee);
+  return s;
+}
+
+std::vector<std::string> parse_report_fields(std::string_view text) {
+  const Reader in(text);
+  const std::string* v = in.find("Report.Fields");
+  return v ? split_list(*v) : std::vector<std::string>();
+}
+
+}  // namespace sablelink
--- /dev/null
+++ b/src/settings.h
@@ -0,0 +1,22 @@
+// Reads a gateway's settings from lines of path=value.
+#pragma once
+
+#include <stdexcept>
+#include <string_view>
+
+#include "gateway.h"
+
+namespace sablelink {
+
+struct SettingsError : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+// Unknown keys are ignored; missing optional keys take the defaults of Settings. Throws SettingsError, naming
+// the key, where a value can't be read or the list of classes is missing.
+Settings parse_settings(std::string_view text);
+
+// Names of the report values, in the order in which reports carry them (Report.Fields).
+std::vector<std::string> parse_report_fields(std::string_view text);
+
+}  // namespace sablelink
