--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -53,8 +53,8 @@
 constexpr double kSlowMost = 10;               // bound of an engine's slow factor: what outcomes can prove
 constexpr TimeUs kForgetSlowUs = 8 * kSecond;  // a slow factor without news fades in this time
 
-constexpr double kColdRate = 0.75;    // work a core of an engine takes at capacity, of its time
-constexpr double kColdMargin = 0.8;   // share of the cold budget that is used: clocks and delays differ
+constexpr double kColdRate = 1.1;     // work a core of an engine takes at capacity, of its time
+constexpr double kColdMargin = 1.3;   // share of the cold budget that is used: clocks and delays differ
 constexpr double kColdWindow = 1.15;  // the budget's window is kept this much longer, for the same reason
 constexpr double kGrantMargin = 1.1;  // memory granted over the corrected estimate
 constexpr TimeUs kResubscribeUs = 500 * kMs;  // after a failed call to discovery
@@ -148,9 +148,10 @@
     }
   }
 
-  void begin(TimeUs now, Actions& actions) {
+  Impl& at(TimeUs now, Actions& actions) {
     now_ = now;
     act_ = &actions;
+    return *this;
   }
 
   // ---- Estimates -----------------------------------------------------------------------------------------
@@ -952,38 +953,22 @@
 Gateway::Gateway(Gateway&&) noexcept = default;
 Gateway& Gateway::operator=(Gateway&&) noexcept = default;
 
-void Gateway::on_start(TimeUs now, Actions& actions) {
-  impl_->begin(now, actions);
-  impl_->on_start();
-}
-void Gateway::on_list(TimeUs now, ListForm form, const std::vector<EngineEntry>& entries, Actions& actions) {
-  impl_->begin(now, actions);
-  impl_->on_list(form, entries);
-}
-void Gateway::on_request(TimeUs now, const QueryRequest& request, Actions& actions) {
-  impl_->begin(now, actions);
-  impl_->on_request(request);
-}
-void Gateway::on_stream_started(TimeUs now, RequestId id, int attempt, Actions& actions) {
-  impl_->begin(now, actions);
-  impl_->on_stream_started(id, attempt);
-}
-void Gateway::on_attempt_end(TimeUs now, const AttemptEnd& end, Actions& actions) {
-  impl_->begin(now, actions);
-  impl_->on_attempt_end(end);
-}
-void Gateway::on_progress(TimeUs now, const ProgressNote& note, Actions& actions) {
-  impl_->begin(now, actions);
-  impl_->on_progress(note);
+using Entries = std::vector<EngineEntry>;
+
+void Gateway::on_start(TimeUs now, Actions& a) { impl_->at(now, a).on_start(); }
+void Gateway::on_list(TimeUs now, ListForm form, const Entries& entries, Actions& a) {
+  impl_->at(now, a).on_list(form, entries);
 }
-void Gateway::on_client_left(TimeUs now, RequestId id, Actions& actions) {
-  impl_->begin(now, actions);
-  impl_->on_client_left(id);
+void Gateway::on_request(TimeUs now, const QueryRequest& r, Actions& a) { impl_->at(now, a).on_request(r); }
+void Gateway::on_stream_started(TimeUs now, RequestId id, int attempt, Actions& a) {
+  impl_->at(now, a).on_stream_started(id, attempt);
 }
-void Gateway::on_timer(TimeUs now, uint32_t token, Actions& actions) {
-  impl_->begin(now, actions);
-  impl_->on_timer(token);
+void Gateway::on_attempt_end(TimeUs now, const AttemptEnd& e, Actions& a) {
+  impl_->at(now, a).on_attempt_end(e);
 }
+void Gateway::on_progress(TimeUs now, const ProgressNote& n, Actions& a) { impl_->at(now, a).on_progress(n); }
+void Gateway::on_client_left(TimeUs now, RequestId id, Actions& a) { impl_->at(now, a).on_client_left(id); }
+void Gateway::on_timer(TimeUs now, uint32_t token, Actions& a) { impl_->at(now, a).on_timer(token); }
 // Probes and peer messages are never asked for: reports come with answers, and both cost a fee.
 void Gateway::on_probe_end(TimeUs, EngineId, Outcome, TimeUs, const std::optional<LoadReport>&, Actions&) {}
 void Gateway::on_peer_message(TimeUs, int, std::string_view, Actions&) {}
