--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -24,7 +24,7 @@
     30 * kMs;  // drain times this close count as equal, or idle engines never tie
 constexpr TimeUs kZoneDetourUs =
     60 * kMs;                            // a same-zone engine wins over one whose drain is this much shorter
-constexpr double kThreadsPerCore = 1.6;  // run bound: engines peak between one and two threads a core
+constexpr double kThreadsPerCore = 1.85;  // run bound: engines peak between one and two threads a core
 constexpr double kPressedShare = 0.8;    // of the run bound in threads: from here on the bound binds
 constexpr double kDefaultCores = 8;      // where the kind's cores aren't told
 constexpr double kFitShare = 0.5;        // a query starts when this share of its threads is free
