--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -23,11 +23,13 @@
 constexpr TimeUs kDrainSlackUs =
     30 * kMs;  // drain times this close count as equal, or idle engines never tie
 constexpr TimeUs kZoneDetourUs =
-    60 * kMs;                            // a same-zone engine wins over one whose drain is this much shorter
+    60 * kMs;  // a same-zone engine wins over one whose drain is this much shorter
+constexpr size_t kRecentGroups =
+    3;  // table groups that an engine is taken to keep warm: few, as others read too
 constexpr double kThreadsPerCore = 1.85;  // run bound: engines peak between one and two threads a core
-constexpr double kPressedShare = 0.8;    // of the run bound in threads: from here on the bound binds
-constexpr double kDefaultCores = 8;      // where the kind's cores aren't told
-constexpr double kFitShare = 0.5;        // a query starts when this share of its threads is free
+constexpr double kPressedShare = 0.8;     // of the run bound in threads: from here on the bound binds
+constexpr double kDefaultCores = 8;       // where the kind's cores aren't told
+constexpr double kFitShare = 0.5;         // a query starts when this share of its threads is free
 
 constexpr TimeUs kHousekeepingUs = 10 * kMs;  // pace of the checks that no event triggers
 constexpr TimeUs kOthersTauUs = 400 * kMs;    // smoothing of reports; about their age, damps herding
@@ -97,11 +99,10 @@
   TimeUs averaged_at = 0;
   TimeUs report_at = 0;
   TimeUs full_at = -kSecond * 1000;
-  TimeUs life_at = 0;       // last sign of life
-  int64_t last_group = -1;  // table group of the query started last
-  bool last_writes = false, last_waits = false;
-  double slow = 1;       // its time for a query against the fleet's
-  double live_slow = 1;  // the same from attempts still out
+  TimeUs life_at = 0;                 // last sign of life
+  std::deque<int64_t> recent_groups;  // table groups of the queries started last, latest first
+  double slow = 1;                    // its time for a query against the fleet's
+  double live_slow = 1;               // the same from attempts still out
   TimeUs slow_at = 0;
   double errors = 0;         // share of failed outcomes
   TimeUs ejected_until = 0;  // 0: in service
@@ -132,9 +133,12 @@
   bool reachable = false;
 };
 
-int interaction(int64_t ga, bool wa, bool sa, int64_t gb, bool wb, bool sb) {
-  if (ga < 0 || ga != gb) return 0;
-  return (wa && (wb || sb)) || (wb && sa) ? -1 : 1;  // a load makes others of its group stand still
+// f of the design: 1 within a table group, but a load makes others of its group stand still.
+int interaction(const Query& a, const Query& b) {
+  if (a.req.table_group < 0 || a.req.table_group != b.req.table_group) return 0;
+  const bool clash = (a.cls->writes_tables && (b.cls->writes_tables || b.cls->waits_for_loads)) ||
+                     (b.cls->writes_tables && a.cls->waits_for_loads);
+  return clash ? -1 : 1;
 }
 
 }  // namespace
@@ -301,21 +305,21 @@
     return best;
   }
 
-  static int interaction_of(const Query& a, const Query& b) {
-    return interaction(a.req.table_group, a.cls->writes_tables, a.cls->waits_for_loads, b.req.table_group,
-                       b.cls->writes_tables, b.cls->waits_for_loads);
-  }
-
-  int interaction_at(const Engine& e, const Query& q, size_t j) const {
+  // Gain of standing at position j. An empty queue's front neighbours are the queries started there last: an
+  // engine keeps a few table groups warm, not only one, so the design's single neighbour is widened to a few.
+  static int interaction_at(const Engine& e, const Query& q, size_t j) {
     const Query* after = j < e.queue.size() ? e.queue[j] : nullptr;
     if (e.queue.empty()) {
-      return interaction(e.last_group, e.last_writes, e.last_waits, q.req.table_group, q.cls->writes_tables,
-                         q.cls->waits_for_loads);
+      for (const Query* r : e.running) {
+        if (interaction(*r, q) < 0) return -1;
+      }
+      const auto& recent = e.recent_groups;
+      return q.req.table_group >= 0 &&
+             std::find(recent.begin(), recent.end(), q.req.table_group) != recent.end();
     }
-    if (j == 0) return interaction_of(q, *after);
+    if (j == 0) return interaction(q, *after);
     const Query& before = *e.queue[j - 1];
-    return interaction_of(before, q) +
-           (after ? interaction_of(q, *after) - interaction_of(before, *after) : 0);
+    return interaction(before, q) + (after ? interaction(q, *after) - interaction(before, *after) : 0);
   }
 
   // ---- Dispatch ------------------------------------------------------------------------------------------
@@ -422,9 +426,9 @@
     q.foretold_us = 0;
     ++q.attempts;
     e.running.push_back(&q);
-    e.last_group = q.req.table_group;
-    e.last_writes = q.cls->writes_tables;
-    e.last_waits = q.cls->waits_for_loads;
+    std::erase(e.recent_groups, q.req.table_group);
+    e.recent_groups.push_front(q.req.table_group);
+    if (e.recent_groups.size() > kRecentGroups) e.recent_groups.pop_back();
   }
 
   // Short queries first where shares are heeded; what is past its aim yields to all that isn't.
@@ -783,7 +787,7 @@
       e.ejected_until = 0;
       e.eject_for = kEjectUs;
       e.heard = false;
-      e.last_group = -1;
+      e.recent_groups.clear();
       e.life_at = now_;
       e.averaged_at = now_;
       e.cold_sent.clear();
