--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -36,6 +36,8 @@
 constexpr double kLearnRate = 0.05;           // weight of a new outcome in slow averages (class work, grants)
 constexpr double kPaceRate = 0.12;            // weight of a new outcome in paces: follows load within seconds
 constexpr double kClipTimes = 6;              // a told cost counts up to this many class means (bad plans)
+constexpr double kWaitMargin =
+    1.4;                        // waits run longer than estimated: who is just in time by estimate is late
 constexpr double kReach = 0.7;  // hopeless only if even this share of the estimated wait is too long
 
 constexpr double kBadPlanTimes = 3.0;  // an attempt this far past its expected time is taken for a bad plan
@@ -270,7 +272,7 @@
     out_work /= static_cast<double>(e.running.size() + 1);
     const auto start = [&](double threads_ahead, double work_ahead) {
       if (threads_ahead + kFitShare * q.cls->threads <= free) return static_cast<double>(now_);
-      return static_cast<double>(now_) + (out_work + work_ahead) / rate;
+      return static_cast<double>(now_) + kWaitMargin * (out_work + work_ahead) / rate;
     };
     const size_t n = e.queue.size();
     const double run = run_us(q, e), own = work(q);
@@ -399,15 +401,19 @@
   // Algorithm 9, for many at once: starts queries from the front while the run bound leaves room.
   void pump(Engine& e) {
     while (!e.queue.empty()) {
-      Query& q = *e.queue.front();
+      // What has passed its aim yields to what can still make it: else estimates that were too good make all
+      // late.
+      auto next = std::find_if(e.queue.begin(), e.queue.end(), [&](Query* w) { return now_ < aim_at(*w); });
+      if (next == e.queue.end()) next = e.queue.begin();
+      Query& q = **next;
       if (!may_send(q, e)) {
-        e.queue.erase(e.queue.begin());
+        e.queue.erase(next);
         q.engine = nullptr;
         hold(q, true);
         continue;
       }
       if (free_threads(e) < kFitShare * q.cls->threads) return;
-      e.queue.erase(e.queue.begin());
+      e.queue.erase(next);
       send(q, e);
     }
   }
