--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "gateway.h"
+#include "state.h"
 
 namespace sablelink {
 namespace {
@@ -29,6 +30,7 @@
 constexpr double kThreadsPerCore = 1.85;  // run bound: engines peak between one and two threads a core
 constexpr double kPressedShare = 0.8;     // of the run bound in threads: from here on the bound binds
 constexpr double kDefaultCores = 8;       // where the kind's cores aren't told
+constexpr double kFirstPace = 1.3;        // until answers tell: a shared engine takes a little longer
 constexpr double kFitShare = 0.5;         // a query starts when this share of its threads is free
 
 constexpr TimeUs kHousekeepingUs = 10 * kMs;  // pace of the checks that no event triggers
@@ -66,74 +68,7 @@
 constexpr uint32_t kHousekeepingToken = 1;
 constexpr uint32_t kSubscribeToken = 2;
 
-// ---- State -----------------------------------------------------------------------------------------------
-
-struct Engine;
-
-struct Query {
-  QueryRequest req;
-  const ClassSettings* cls = nullptr;
-  TimeUs arrived = 0;
-  bool finished = false;
-  bool out = false;  // an attempt has no outcome yet; there is never more than one
-  bool streaming = false;
-  bool cancelling = false;
-  bool may_have_run = false;
-  EngineEntry ran_on;  // of the first attempt that may have run
-  TimeUs ran_since = 0;
-  int attempts = 0;
-  int slow_seen = 0;  // attempts cancelled as bad plans
-  int priority = -1;
-  TimeUs sent_at = 0;
-  TimeUs foretold_us = 0;    // whole time of the running attempt by its progress notes; 0: no note
-  EngineId avoid = 0;        // where the last attempt went wrong
-  Engine* engine = nullptr;  // queued or running there
-};
-
-struct Engine {
-  EngineEntry entry;
-  double cores = kDefaultCores;
-  std::vector<Query*> queue;    // unsent, in starting order
-  std::vector<Query*> running;  // sent, no outcome yet, in sending order
-  double own_avg = 0;           // own running queries, smoothed like the reports
-  double others = 0;            // queries of other gateways there, from reports
-  bool heard = false;
-  TimeUs averaged_at = 0;
-  TimeUs report_at = 0;
-  TimeUs full_at = -kSecond * 1000;
-  TimeUs life_at = 0;                 // last sign of life
-  std::deque<int64_t> recent_groups;  // table groups of the queries started last, latest first
-  double slow = 1;                    // its time for a query against the fleet's
-  double live_slow = 1;               // the same from attempts still out
-  TimeUs slow_at = 0;
-  double errors = 0;         // share of failed outcomes
-  TimeUs ejected_until = 0;  // 0: in service
-  TimeUs eject_for = kEjectUs;
-  int trial_oks = 0;
-  std::deque<std::pair<TimeUs, double>> cold_sent;  // work sent while cold, by time
-};
-
-struct ClassStats {
-  double work_us = 0;  // mean work of a query
-  double answers = 0;
-  double cost_ratio = 1;    // told cost over estimate
-  double memory_ratio = 1;  // used memory over estimate
-  double memory_mb = 0;
-  double pace = 1.3;  // time taken over work divided by threads
-};
-
-struct Turns {
-  std::deque<RequestId> line;
-  TimeUs rest_until = 0;
-};
-
-struct Gain {
-  double balance = 0;
-  int interaction = 0;
-  size_t position = 0;
-  double drain_us = 0;
-  bool reachable = false;
-};
+// ---- Estimates and gains, without an instance ------------------------------------------------------------
 
 // f of the design: 1 within a table group, but a load makes others of its group stand still.
 int interaction(const Query& a, const Query& b) {
@@ -150,7 +85,8 @@
   Impl(Settings settings, uint64_t seed) : s_(std::move(settings)), random_(seed), stats_(s_.classes.size()) {
     for (size_t c = 0; c < stats_.size(); ++c) {
       // Until answers tell better: half the aim on all threads, as an aim leaves room for about that much.
-      stats_[c].work_us = static_cast<double>(s_.classes[c].aim_us) / 2 * s_.classes[c].threads;
+      stats_[c].work_us = 0.5 * s_.classes[c].aim_us * s_.classes[c].threads;
+      stats_[c].pace = kFirstPace;
     }
   }
 
@@ -177,13 +113,13 @@
   }
 
   TimeUs aim_at(const Query& q) {
-    const double aim = static_cast<double>(q.cls->aim_us) + q.cls->aim_stretch * work(q) / q.cls->threads;
+    const double aim = q.cls->aim_us + q.cls->aim_stretch * work(q) / q.cls->threads;
     return std::min(q.arrived + static_cast<TimeUs>(aim), q.req.due_us);
   }
 
   double worth_at(const Query& q, double finish) {
-    if (finish <= static_cast<double>(aim_at(q))) return q.cls->worth;
-    return finish <= static_cast<double>(q.req.due_us) ? q.cls->worth * q.cls->late_worth : 0;
+    if (finish <= aim_at(q)) return q.cls->worth;
+    return finish <= q.req.due_us ? q.cls->worth * q.cls->late_worth : 0;
   }
 
   // Past this time an answer is worth nothing.
@@ -196,8 +132,8 @@
   // Share of its capacity that an engine is sure to have. The curve is not told: half of a straight rise.
   double warmth(const Engine& e) const {
     if (!cold(e)) return 1;
-    const double age = std::max<double>(0, static_cast<double>(now_ - e.entry.started_us));
-    return s_.cold_from + (1 - s_.cold_from) * 0.5 * age / static_cast<double>(s_.warm_after_us);
+    const double age = std::max<double>(0, now_ - e.entry.started_us);
+    return s_.cold_from + (1 - s_.cold_from) * 0.5 * age / s_.warm_after_us;
   }
 
   static double own_threads(const Engine& e) {
@@ -207,8 +143,8 @@
   }
 
   double remaining_work(const Query& q, const Engine& e) {
-    const double whole = q.foretold_us > 0 ? static_cast<double>(q.foretold_us) : run_us(q, e);
-    const double left = std::max(whole - static_cast<double>(now_ - q.sent_at), 0.15 * whole);
+    const double whole = q.foretold_us > 0 ? q.foretold_us : run_us(q, e);
+    const double left = std::max(whole - (now_ - q.sent_at), 0.15 * whole);
     return work(q) * std::min(left / std::max(run_us(q, e), 1.0), kClipTimes);
   }
 
@@ -245,7 +181,7 @@
   // The bound binds only under pressure: a busy report or a recent 'full'.
   bool pressed(const Engine& e) const {
     return own_threads(e) + others(e) * held_threads_ >= kPressedShare * run_bound(e) ||
-           now_ - e.full_at < kSecond;
+           (e.full_at > 0 && now_ - e.full_at < kSecond);
   }
 
   double free_threads(const Engine& e) const {
@@ -269,27 +205,27 @@
     const double free = free_threads(e), rate = work_rate(e);
     double out_work = 0;
     for (const Query* r : e.running) out_work += remaining_work(*r, e);
-    out_work /= static_cast<double>(e.running.size() + 1);
-    const auto start = [&](double threads_ahead, double work_ahead) {
-      if (threads_ahead + kFitShare * q.cls->threads <= free) return static_cast<double>(now_);
-      return static_cast<double>(now_) + kWaitMargin * (out_work + work_ahead) / rate;
+    out_work /= (e.running.size() + 1);
+    const auto start = [&](double threads_ahead, double work_ahead) -> double {
+      if (threads_ahead + kFitShare * q.cls->threads <= free) return now_;
+      return now_ + kWaitMargin * (out_work + work_ahead) / rate;
     };
     const size_t n = e.queue.size();
     const double run = run_us(q, e), own = work(q);
-    std::vector<double> begins(n + 1), loss(n + 1, 0.0);
+    std::vector<double> begins(n + 1),
+        loss(n + 1, 0.0);  // loss: of those from k on when the newcomer is at k
     double threads = 0, ahead = 0;
-    std::vector<double> later(n, 0.0);
     for (size_t k = 0; k < n; ++k) {
       Query& other = *e.queue[k];
       begins[k] = start(threads, ahead);
       const double other_run = run_us(other, e);
-      later[k] = worth_at(other, begins[k] + other_run) -
-                 worth_at(other, start(threads + q.cls->threads, ahead + own) + other_run);
+      loss[k] = worth_at(other, begins[k] + other_run) -
+                worth_at(other, start(threads + q.cls->threads, ahead + own) + other_run);
       threads += other.cls->threads;
       ahead += work(other);
     }
     begins[n] = start(threads, ahead);
-    for (size_t k = n; k-- > 0;) loss[k] = loss[k + 1] + later[k];
+    for (size_t k = n; k-- > 0;) loss[k] += loss[k + 1];
     Gain best;
     best.drain_us = drain_us(e);
     for (size_t j = n + 1; j-- > 0;) {
@@ -301,9 +237,8 @@
         best.position = j;
       }
     }
-    const double hopeful =
-        static_cast<double>(now_) + kReach * (begins[best.position] + run - static_cast<double>(now_));
-    best.reachable = best.balance > 0 || hopeful <= static_cast<double>(last_use(q));
+    const double hopeful = now_ + kReach * (begins[best.position] + run - now_);
+    best.reachable = best.balance > 0 || hopeful <= last_use(q);
     return best;
   }
 
@@ -347,30 +282,23 @@
       hold(q, later);
       return;
     }
-    bool reachable = false;
-    double balance = options[0].second.balance;
-    for (const auto& [e, g] : options) {
-      balance = std::max(balance, g.balance);
-      reachable = reachable || g.reachable;
-    }
-    if (!reachable) {
+    const auto reachable = [](const auto& option) { return option.second.reachable; };
+    if (std::none_of(options.begin(), options.end(), reachable)) {
       conclude(q);  // worth is out of reach on every engine
       return;
     }
-    double least = 0;
-    bool first = true;
-    for (const auto& [e, g] : options) {
-      if (g.balance < balance) continue;
-      least = first ? g.drain_us : std::min(least, g.drain_us);
-      first = false;
-    }
+    double balance = options[0].second.balance;
+    for (const auto& [e, g] : options) balance = std::max(balance, g.balance);
+    std::erase_if(options, [&](const auto& option) { return option.second.balance < balance; });
+    double least = options[0].second.drain_us;
+    for (const auto& [e, g] : options) least = std::min(least, g.drain_us);
     const double guard = std::max((1 + kGuard) * least, least + kDrainSlackUs);
     Engine* chosen = nullptr;
     const Gain* best = nullptr;
     double best_cost = 0;
     int ties = 0;
     for (const auto& [e, g] : options) {
-      if (g.balance < balance || g.drain_us > guard) continue;
+      if (g.drain_us > guard) continue;
       const bool far = e->entry.zone != s_.zone && s_.cross_zone_fee > 0;
       const double cost = g.drain_us + (far ? kZoneDetourUs : 0);
       const bool better = !best || g.interaction > best->interaction ||
@@ -401,8 +329,7 @@
   // Algorithm 9, for many at once: starts queries from the front while the run bound leaves room.
   void pump(Engine& e) {
     while (!e.queue.empty()) {
-      // What has passed its aim yields to what can still make it: else estimates that were too good make all
-      // late.
+      // What has passed its aim yields to what can still make it, or waits misjudged make all of them late.
       auto next = std::find_if(e.queue.begin(), e.queue.end(), [&](Query* w) { return now_ < aim_at(*w); });
       if (next == e.queue.end()) next = e.queue.begin();
       Query& q = **next;
@@ -442,7 +369,7 @@
     if (now_ > aim_at(q)) return 0;
     double all = 0;
     for (const ClassStats& c : stats_) all += c.work_us;
-    return work(q) < all / static_cast<double>(stats_.size()) ? 3 : 1;
+    return work(q) < all / stats_.size() ? 3 : 1;
   }
 
   double grant_mb(const Query& q, const Engine& e) {
@@ -515,7 +442,7 @@
 
   void learn_answer(Query& q, Engine& e, const AttemptEnd& end) {
     ClassStats& c = stats(q);
-    const double took = std::max<double>(1, static_cast<double>(end.took_us));
+    const double took = std::max<double>(1, end.took_us);
     const double told = end.work_us ? *end.work_us : took * q.cls->threads / c.pace;
     if (told <= 0) return;
     const double rate = std::max(kLearnRate, 1 / (c.answers + 2));
@@ -539,7 +466,7 @@
   }
 
   void retry_or_conclude(Query& q) {
-    const double left = static_cast<double>(last_use(q) - now_);
+    const double left = (last_use(q) - now_);
     if (q.attempts >= s_.max_attempts || !within_budget(q) || left <= 0) {
       conclude(q);
     } else {
@@ -549,12 +476,11 @@
 
   // An attempt far past its expectation: its plan is taken for bad, unless the query is heavy in itself.
   bool overdue(const Query& q, const Engine& e) {
-    const double age = static_cast<double>(now_ - q.sent_at), expected = run_us(q, e);
+    const double age = (now_ - q.sent_at), expected = run_us(q, e);
     if (age < kBadPlanFloorUs) return false;
-    if (q.foretold_us > 0) return static_cast<double>(q.foretold_us) > kBadPlanPace * expected;
+    if (q.foretold_us > 0) return q.foretold_us > kBadPlanPace * expected;
     if (age > kBadPlanTimes * expected) return true;
-    return age > kBadPlanEarly * expected && static_cast<double>(aim_at(q) - now_) < 1.2 * expected &&
-           now_ < aim_at(q);
+    return age > kBadPlanEarly * expected && (aim_at(q) - now_) < 1.2 * expected && now_ < aim_at(q);
   }
 
   bool worth_another(const Query& q, const Engine& e) {
@@ -562,7 +488,7 @@
     const double fresh = run_us(q, e);
     return s_.may_cancel && !q.cancelling && !q.streaming && q.slow_seen < heavy &&
            q.attempts < s_.max_attempts && q.cls->repeat == Repeat::kRetryable && within_budget(q) &&
-           static_cast<double>(now_) + fresh < static_cast<double>(last_use(q));
+           now_ + fresh < last_use(q);
   }
 
   // Cancels attempts with bad plans, but none where so many are late that the slowdown must be shared.
@@ -656,16 +582,15 @@
       size_t late = 0;
       double against = 0;
       for (const Query* q : e.running) {
-        const double age = static_cast<double>(now_ - q->sent_at);
+        const double age = (now_ - q->sent_at);
         const double expected = run_us(*q, e) / slow(e);
         against += std::min(age / expected, kSlowMost);
-        if (age > kBadPlanTimes * expected + static_cast<double>(kBadPlanFloorUs) && q->sent_at >= e.life_at)
-          ++late;
+        if (age > kBadPlanTimes * expected + kBadPlanFloorUs && q->sent_at >= e.life_at) ++late;
       }
       const size_t n = e.running.size();
-      e.live_slow = n >= 2 ? std::max(1.0, against / static_cast<double>(n)) : 1.0;
+      e.live_slow = n >= 2 ? std::max(1.0, against / n) : 1.0;
       if (e.slow > 1 && now_ - e.slow_at > kSecond) {
-        e.slow += (1 - e.slow) * static_cast<double>(kHousekeepingUs) / static_cast<double>(kForgetSlowUs);
+        e.slow += (1 - e.slow) * kHousekeepingUs / kForgetSlowUs;
       }
       const TimeUs quiet = now_ - e.life_at;
       if ((late >= 2 && quiet > kSilenceUs) || (late >= 1 && quiet > 2 * kSilenceUs)) silent.push_back(&e);
@@ -678,8 +603,8 @@
   void take_report(Engine& e, const std::optional<LoadReport>& report) {
     if (!report || !report->held) return;
     const double seen = std::max(0.0, *report->held - e.own_avg);
-    const double gap = static_cast<double>(now_ - e.report_at);
-    const double rate = e.heard ? 1 - std::exp(-gap / static_cast<double>(kOthersTauUs)) : 1;
+    const double gap = (now_ - e.report_at);
+    const double rate = e.heard ? 1 - std::exp(-gap / kOthersTauUs) : 1;
     e.others += std::max(rate, 0.1) * (seen - e.others);
     e.heard = true;
     e.report_at = now_;
@@ -730,9 +655,8 @@
   // class's usual work.
   bool cold_room(const Query& q, Engine& e) {
     if (!cold(e) || s_.fall_us <= 0) return true;
-    const double window = static_cast<double>(s_.fall_us);
-    while (!e.cold_sent.empty() &&
-           static_cast<double>(now_ - e.cold_sent.front().first) > kColdWindow * window) {
+    const double window = s_.fall_us;
+    while (!e.cold_sent.empty() && (now_ - e.cold_sent.front().first) > kColdWindow * window) {
       e.cold_sent.pop_front();
     }
     double sent = stats(q).work_us;
@@ -741,8 +665,8 @@
   }
 
   double cold_budget(const Engine& e) const {
-    return kColdMargin * s_.fall_multiple * warmth(e) * e.cores * kColdRate *
-           static_cast<double>(s_.fall_us) / std::max(1, s_.instances);
+    return kColdMargin * s_.fall_multiple * warmth(e) * e.cores * kColdRate * s_.fall_us /
+           std::max(1, s_.instances);
   }
 
   // Rule 5: the front of its key's line, and the key has rested.
@@ -758,8 +682,7 @@
     if (q.attempts == 0 || !s_.attempts_rationed) return true;
     while (!extra_at_.empty() && now_ - extra_at_.front() > s_.budget_window_us) extra_at_.pop_front();
     while (!taken_at_.empty() && now_ - taken_at_.front() >= s_.budget_window_us) taken_at_.pop_front();
-    return static_cast<double>(extra_at_.size() + 1) <=
-           s_.budget_free + s_.budget_per_request * static_cast<double>(taken_at_.size());
+    return (extra_at_.size() + 1) <= s_.budget_free + s_.budget_per_request * taken_at_.size();
   }
 
   // ---- Events --------------------------------------------------------------------------------------------
@@ -784,6 +707,7 @@
       Engine& e = it == engines_.end() ? engines_[entry.engine] : it->second;
       const bool fresh = it == engines_.end() || entry.started_us > e.entry.started_us;
       e.entry = entry;
+      e.cores = kDefaultCores;
       if (entry.kind < static_cast<int>(s_.kind_cores.size()) && s_.kind_cores[entry.kind] > 0) {
         e.cores = s_.kind_cores[entry.kind];
       }
@@ -883,7 +807,7 @@
     q.engine->life_at = now_;
     if (note.kind == NoteKind::kProgress) {
       const double share = std::clamp(note.value, 0.002, 1.0);
-      q.foretold_us = static_cast<TimeUs>(static_cast<double>(now_ - q.sent_at) / share);
+      q.foretold_us = static_cast<TimeUs>((now_ - q.sent_at) / share);
     }
   }
 
@@ -902,9 +826,8 @@
     if (token != kHousekeepingToken) return;
     act_->set_timer(kHousekeepingUs, kHousekeepingToken);
     for (auto& [id, e] : engines_) {
-      const double rate =
-          1 - std::exp(-static_cast<double>(now_ - e.averaged_at) / static_cast<double>(kOthersTauUs));
-      e.own_avg += rate * (static_cast<double>(e.running.size()) - e.own_avg);
+      const double rate = 1 - std::exp(-1.0 * (now_ - e.averaged_at) / kOthersTauUs);
+      e.own_avg += rate * (e.running.size() - e.own_avg);
       e.averaged_at = now_;
     }
     refresh_fleet_means();
@@ -925,8 +848,7 @@
         hopeless.push_back(&q);
       } else if (!q.out && q.engine) {
         const double run = run_us(q, *q.engine);
-        if (static_cast<double>(now_) + kReach * run > static_cast<double>(last_use(q)))
-          hopeless.push_back(&q);
+        if (now_ + kReach * run > last_use(q)) hopeless.push_back(&q);
       }
     }
     for (Query* q : hopeless) conclude(*q);
@@ -947,7 +869,7 @@
   std::map<uint64_t, Turns> turns_;
   std::vector<Query*> waiting_;
   std::deque<TimeUs> taken_at_, extra_at_;
-  double pace_ = 1.3;           // time over work divided by threads, all classes
+  double pace_ = kFirstPace;    // time over work divided by threads, all classes
   double held_threads_ = 1.5;   // of a query that an engine holds
   double held_work_ = 500'000;  // work left of one, microseconds
   double unheard_others_ = 0;
--- /dev/null
+++ b/src/state.h
@@ -0,0 +1,79 @@
+// What the decision module remembers. Plain data: every decision and every tuned value is in policy.cpp.
+#pragma once
+
+#include <deque>
+#include <utility>
+#include <vector>
+
+#include "gateway.h"
+
+namespace sablelink {
+
+struct Engine;
+
+struct Query {
+  QueryRequest req;
+  const ClassSettings* cls = nullptr;
+  TimeUs arrived = 0;
+  bool finished = false;
+  bool out = false;  // an attempt has no outcome yet; there is never more than one
+  bool streaming = false;
+  bool cancelling = false;
+  bool may_have_run = false;
+  EngineEntry ran_on;  // of the first attempt that may have run
+  TimeUs ran_since = 0;
+  int attempts = 0;
+  int slow_seen = 0;  // attempts cancelled as bad plans
+  int priority = -1;
+  TimeUs sent_at = 0;
+  TimeUs foretold_us = 0;    // whole time of the running attempt by its progress notes; 0: no note
+  EngineId avoid = 0;        // where the last attempt went wrong
+  Engine* engine = nullptr;  // queued or running there
+};
+
+struct Engine {
+  EngineEntry entry;
+  double cores = 0;
+  std::vector<Query*> queue;    // unsent, in starting order
+  std::vector<Query*> running;  // sent, no outcome yet, in sending order
+  double own_avg = 0;           // own running queries, smoothed like the reports
+  double others = 0;            // queries of other gateways there, from reports
+  bool heard = false;
+  TimeUs averaged_at = 0;
+  TimeUs report_at = 0;
+  TimeUs full_at = 0;                 // last 'full'; 0: never
+  TimeUs life_at = 0;                 // last sign of life
+  std::deque<int64_t> recent_groups;  // table groups of the queries started last, latest first
+  double slow = 1;                    // its time for a query against the fleet's
+  double live_slow = 1;               // the same from attempts still out
+  TimeUs slow_at = 0;
+  double errors = 0;         // share of failed outcomes
+  TimeUs ejected_until = 0;  // 0: in service
+  TimeUs eject_for = 0;      // next rest once taken out
+  int trial_oks = 0;
+  std::deque<std::pair<TimeUs, double>> cold_sent;  // work sent while cold, by time
+};
+
+struct ClassStats {
+  double work_us = 0;  // mean work of a query
+  double answers = 0;
+  double cost_ratio = 1;    // told cost over estimate
+  double memory_ratio = 1;  // used memory over estimate
+  double memory_mb = 0;
+  double pace = 1;  // time taken over work divided by threads
+};
+
+struct Turns {
+  std::deque<RequestId> line;
+  TimeUs rest_until = 0;
+};
+
+struct Gain {
+  double balance = 0;
+  int interaction = 0;
+  size_t position = 0;
+  double drain_us = 0;
+  bool reachable = false;
+};
+
+}  // namespace sablelink
