--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -270,7 +270,7 @@
     for (int pass = 0; pass < 2 && options.empty(); ++pass) {
       for (auto& [id, e] : engines_) {
         if (pass == 0 && id == q.avoid) continue;  // elsewhere first after an attempt went wrong
-        if (!allowed_target(q, e)) continue;
+        if (!allowed_target(q, e) || !effect_safe(q, e)) continue;  // no wait changes these
         if (!may_send(q, e) || !in_service(q, e)) {
           later = true;
           continue;
--- /dev/null
+++ b/tests/codec_test.cpp
@@ -0,0 +1,153 @@
+// The codec against the byte examples of the wire's description, and on input that is malformed.
+#include "benchlink/codec.h"
+
+#include <gtest/gtest.h>
+
+#include "benchlink/host.h"
+
+namespace sablelink::benchlink {
+namespace {
+
+std::string from_hex(const std::string& hex) {
+  std::string out;
+  int digit = -1;
+  for (const char c : hex) {
+    if (c == ' ' || c == '\n') continue;
+    const int v = c <= '9' ? c - '0' : c - 'a' + 10;
+    if (digit < 0) {
+      digit = v;
+    } else {
+      out += static_cast<char>(digit << 4 | v);
+      digit = -1;
+    }
+  }
+  return out;
+}
+
+constexpr EngineId kNode = 0x0a124a07138bull;
+
+TEST(Codec, ReadsTheHeader) {
+  const BatchHeader h = read_header(from_hex("5a5c800000000000 3a000000"));
+  EXPECT_EQ(h.now, 0x805c5a);
+  EXPECT_EQ(h.body_bytes, 0x3au);
+}
+
+TEST(Codec, ReadsARequest) {
+  const std::string bytes =
+      from_hex("c4913a5d 0000 0000 640ad2557c3bf091 da05840000000000 e02e0000 0000c043 00003041 01");
+  WireReader in(bytes);
+  const QueryRequest r = read_request(in);
+  EXPECT_TRUE(in.empty());
+  EXPECT_EQ(r.id, 0x5d3a91c4u);
+  EXPECT_EQ(r.cls, 0);
+  EXPECT_EQ(r.key, 0x91f03b7c55d20a64ull);
+  EXPECT_EQ(r.due_us, 0x8405da);
+  EXPECT_DOUBLE_EQ(r.cost_us.value(), 12000);
+  EXPECT_DOUBLE_EQ(r.need_mb, 384);
+  EXPECT_EQ(r.table_group, 11);
+  EXPECT_FALSE(r.client_repeat);
+}
+
+TEST(Codec, ReadsAnOutcomeWithCostAndReport) {
+  const std::string bytes =
+      from_hex("c4913a5d 00 0a124a07 8b13 6400 44480000 01 60100100 04 0000e040 00004040 cdcccc3e 0000a03f");
+  WireReader in(bytes);
+  const AttemptEnd e = read_attempt_end(in, true, {"concurrent", "depth", "x0", "x1"});
+  EXPECT_TRUE(in.empty());
+  EXPECT_EQ(e.engine, kNode);
+  EXPECT_EQ(e.outcome, Outcome::kOk);
+  EXPECT_EQ(e.took_us, 18500);
+  EXPECT_TRUE(e.request_over);
+  EXPECT_DOUBLE_EQ(e.work_us.value(), 17000);
+  EXPECT_DOUBLE_EQ(e.used_mb.value(), 384);
+  EXPECT_DOUBLE_EQ(e.report->held.value(), 7);
+  EXPECT_DOUBLE_EQ(e.report->waiting.value(), 3);
+  EXPECT_NEAR(e.report->memory_share.value(), 0.4, 1e-6);
+  EXPECT_FALSE(e.report->cpu_share.has_value());
+}
+
+TEST(Codec, ReadsAProgressNote) {
+  const std::string bytes = from_hex("c4913a5d 00 0a124a07 8b13 01 0000003f");
+  WireReader in(bytes);
+  const ProgressNote n = read_progress(in);
+  EXPECT_EQ(n.kind, NoteKind::kProgress);
+  EXPECT_EQ(n.engine, kNode);
+  EXPECT_DOUBLE_EQ(n.value, 0.5);
+}
+
+TEST(Codec, ReadsAListOfEngines) {
+  const std::string bytes = from_hex(
+      "02000000 0000 01 0a124a07 8b13 0000803f 0000 0000000000000000 0000 "
+      "0000 01 0a9011f2 b413 0000c03f 0100 20145d0000000000 0000");
+  WireReader in(bytes);
+  const auto entries = read_entries(in);
+  ASSERT_EQ(entries.size(), 2u);
+  EXPECT_EQ(entries[0].engine, kNode);
+  EXPECT_EQ(entries[0].started_us, 0);
+  EXPECT_DOUBLE_EQ(entries[1].size, 1.5);
+  EXPECT_EQ(entries[1].zone, 1);
+  EXPECT_EQ(entries[1].started_us, 0x5d1420);
+}
+
+TEST(Codec, WritesActionsUnderTheirInstance) {
+  ReplyWriter out;
+  out.act_for(3);
+  out.send(0x5d3a91c4, kNode, 0x013880);
+  out.set_timer(0x07a120, 0x4d);
+  out.act_for(5);
+  out.log("two servers known");
+  EXPECT_EQ(out.take_frame(), from_hex("32000000 06 0300 03 c4913a5d 0a124a07 8b13 80380100 "
+                                       "09 20a10700 4d000000 06 0500 "
+                                       "0a 1100 74776f2073657276657273206b6e6f776e"));
+  EXPECT_EQ(out.take_frame(), from_hex("00000000"));
+}
+
+TEST(Codec, WritesTermsAndMessages) {
+  ReplyWriter out;
+  out.act_for(3);
+  out.set_terms(0x5d3a91c4, 2, 640);
+  out.tell_peer(kAllPeers, "h i7");
+  EXPECT_EQ(out.take_frame(), from_hex("18000000 06 0300 02 c4913a5d 02 00002044 0e ffffffff 0400 68206937"));
+}
+
+std::string open_record(const std::string& env) {
+  std::string out = from_hex("0d 0300 01 0100000000000000");
+  const size_t n = env.size();
+  for (int i = 0; i < 4; ++i) out += static_cast<char>(n >> (8 * i) & 0xff);
+  return out + env;
+}
+
+const char kEnv[] = "Services.count=1\nServices.0.AimUs=1000000\nServices.0.DeadlineUs=5000000\n";
+
+TEST(Host, RunsAnInstanceFromItsSettings) {
+  Host host;
+  const std::string reply = host.handle(
+      0x805c5a, from_hex("04000000") + open_record(kEnv) +
+                    from_hex("0c 00 01000000 0000 01 0a124a07 8b13 0000803f 0000 0000000000000000 0000 "
+                             "02 00 29000000 02"));
+  EXPECT_GT(reply.size(), 4u);
+  const std::string sent = host.handle(
+      0x805c5f, from_hex("02000000 0d 0300 03 c4913a5d 0000 0000 0000000000000000 da05a40000000000 "
+                         "e02e0000 0000c043 00003041 01"));
+  EXPECT_NE(sent.find(from_hex("03 c4913a5d 0a124a07 8b13")), std::string::npos);
+}
+
+TEST(Host, EventsOfAStoppedInstanceArePassedOver) {
+  Host host;
+  host.handle(1, from_hex("03000000") + open_record(kEnv) + from_hex("0a"));
+  EXPECT_EQ(host.handle(2, from_hex("02000000 0d 0300 07 01000000")), from_hex("00000000"));
+}
+
+TEST(Host, MalformedInputIsAPlainError) {
+  Host host;
+  EXPECT_THROW(host.handle(1, from_hex("01000000 0d 03")), WireError) << "truncated";
+  EXPECT_THROW(host.handle(1, from_hex("01000000 0d 0300 ff")), WireError) << "too long";
+  EXPECT_THROW(host.handle(1, from_hex("02000000 0d 0300 63")), WireError) << "unknown code";
+  EXPECT_THROW(host.handle(1, from_hex("01000000 07 01000000")), WireError) << "no instance named";
+  EXPECT_THROW(host.handle(1, from_hex("01000000 0c 10 00000000")), WireError) << "ledger out of range";
+  EXPECT_THROW(host.handle(1, from_hex("01000000 0c 00 ffffffff")), WireError) << "entries missing";
+  EXPECT_THROW(read_header(from_hex("5a5c800000000000 03000000")), WireError);
+}
+
+}  // namespace
+}  // namespace sablelink::benchlink
--- /dev/null
+++ b/tests/policy_test.cpp
@@ -0,0 +1,288 @@
+// The design's ordinary path on examples small enough to check by hand, and the defences, one case for each
+// failure found.
+#include <gtest/gtest.h>
+
+#include <set>
+
+#include "harness.h"
+
+namespace sablelink::test {
+namespace {
+
+TEST(Choice, DrainTimeDecidesWithoutInteraction) {
+  Bench b(plain_settings());
+  b.list({engine(1), engine(2)});
+  b.request(1, 1, 15 * kSecond, 4'000'000);
+  b.request(2, 1, 15 * kSecond, 4'000'000);
+  EXPECT_NE(b.engine_of(1), b.engine_of(2));
+}
+
+TEST(Choice, FollowsLoadReports) {
+  Settings s = plain_settings();
+  s.instances = 3;
+  Bench b(s);
+  b.list({engine(1), engine(2)});
+  b.request(1, 0, 5 * kSecond, 100'000);
+  b.request(2, 0, 5 * kSecond, 100'000);
+  const EngineId busy = b.engine_of(1);
+  b.run_for(50 * kMs);
+  b.end(1, Outcome::kOk, 100'000, 6);
+  b.end(2, Outcome::kOk, 100'000, 1);
+  for (RequestId id = 3; id < 6; ++id) {
+    b.request(id, 0, 5 * kSecond, 100'000);
+    EXPECT_NE(b.engine_of(id), busy);
+    b.end(id, Outcome::kOk, 100'000);
+  }
+}
+
+TEST(Choice, InteractionGainDecidesAmongIdleEngines) {
+  Bench b(plain_settings());
+  b.list({engine(1), engine(2), engine(3), engine(4)});
+  b.request(1, 0, 5 * kSecond, 100'000, 7);
+  const EngineId warm = b.engine_of(1);
+  b.run_for(100 * kMs);
+  b.end(1, Outcome::kOk, 100'000);
+  b.run_for(kSecond);
+  b.request(2, 0, 5 * kSecond, 100'000, 7);
+  EXPECT_EQ(b.engine_of(2), warm);
+}
+
+TEST(Choice, TheDrainGuardBoundsWhatInteractionMayCost) {
+  Bench b(plain_settings());
+  b.list({engine(1), engine(2)});
+  b.request(1, 0, 5 * kSecond, 100'000, 7);
+  const EngineId warm = b.engine_of(1);
+  b.run_for(100 * kMs);
+  b.end(1, Outcome::kOk, 100'000);
+  for (RequestId id = 2; id < 8; ++id) b.request(id, 1, 15 * kSecond, 4'000'000, 7);
+  EXPECT_GT(b.sends_to(warm == 1 ? 2 : 1), 0);
+}
+
+TEST(Choice, ALoadsGroupRepelsItsLikes) {
+  Settings s = plain_settings();
+  s.classes[1].writes_tables = true;
+  s.classes[0].waits_for_loads = true;
+  Bench b(s);
+  b.list({engine(1), engine(2)});
+  b.request(1, 1, 15 * kSecond, 20'000, 7);
+  b.request(2, 0, 5 * kSecond, 10'000, 7);
+  EXPECT_NE(b.engine_of(1), b.engine_of(2));
+}
+
+TEST(RunBound, HoldsQueriesBackOnceAnEngineIsFullAndStartsThemAsItDrains) {
+  Bench b(plain_settings());
+  b.list({engine(1)});
+  for (RequestId id = 1; id <= 12; ++id) b.request(id, 1, 15 * kSecond, 400'000);
+  const int started = b.sends_to(1);
+  EXPECT_GE(4 * started, 8) << "never under one thread a core";
+  EXPECT_LE(4 * started, 24) << "nor far over the engine's peak";
+  b.run_for(300 * kMs);
+  b.end(1, Outcome::kOk, 400'000);
+  EXPECT_EQ(b.sends_to(1), started + 1);
+}
+
+TEST(RunBound, IsSharedWithTheOtherGatewaysOnlyUnderPressure) {
+  Settings s = plain_settings();
+  s.instances = 4;
+  Bench b(s);
+  b.list({engine(1)});
+  for (RequestId id = 1; id <= 6; ++id) b.request(id, 0, 5 * kSecond, 300'000);
+  EXPECT_EQ(b.sends_to(1), 6) << "no pressure: more than a quarter of the bound goes out";
+}
+
+TEST(Queue, ShortQueriesInTimeGoBeforeLongOnesThatAreLate) {
+  Settings s = plain_settings();
+  s.classes[1].aim_us = 200 * kMs;
+  s.classes[1].aim_stretch = 0;
+  Bench b(s);
+  b.list({engine(1)});
+  for (RequestId id = 1; id <= 8; ++id) b.request(id, 1, 15 * kSecond, 2'000'000);
+  b.request(50, 0, 5 * kSecond, 300'000);
+  b.run_for(300 * kMs);
+  ASSERT_EQ(b.sends(50), 0);
+  RequestId running = 1;
+  while (running < 8 && b.sends(running) == 0) ++running;
+  b.end(running, Outcome::kOk, 2'000'000);
+  EXPECT_EQ(b.sends(50), 1)
+      << "incident i56d015: late queries at the front kept newcomers waiting past their aim";
+}
+
+TEST(Refusal, IsAtOnceWhereWorthIsOutOfReachAndTellsWhenToComeBack) {
+  Settings s = plain_settings();
+  s.retry_after_heeded = true;
+  s.max_retry_after_us = 2 * kSecond;
+  Bench b(s);
+  b.list({engine(1)});
+  b.request(7, 1, 15 * kSecond, 400'000'000);
+  EXPECT_EQ(b.sends(7), 0);
+  ASSERT_EQ(b.count(Action::kRefuse, 7), 1);
+  EXPECT_GT(b.last(Action::kRefuse, 7)->value, 0);
+  EXPECT_LE(b.last(Action::kRefuse, 7)->value, 2e6);
+}
+
+TEST(Refusal, AQueryPastAllWorthIsRefusedWhileItWaits) {
+  Bench b(plain_settings());
+  b.list({engine(1)});
+  for (RequestId id = 1; id <= 60; ++id) b.request(id, 0, 5 * kSecond, 1'000'000);
+  b.run_for(3500 * kMs);
+  for (RequestId id = 1; id <= 60; ++id) {
+    EXPECT_EQ(b.sends(id) + b.count(Action::kRefuse, id), 1) << id;
+  }
+}
+
+TEST(BadPlans, AreCancelledAndTriedAgainOnce) {
+  Settings s = plain_settings();
+  s.progress_every_us = kSecond;
+  Bench b(s);
+  b.list({engine(1), engine(2)});
+  b.request(7, 1, 15 * kSecond);
+  b.run_for(kSecond);
+  b.gateway().on_progress(b.now(), ProgressNote{7, 0, b.engine_of(7), NoteKind::kProgress, 0.04}, b);
+  b.run_for(50 * kMs);
+  ASSERT_EQ(b.count(Action::kCancel, 7), 1);
+  b.end(7, Outcome::kCancelled);
+  ASSERT_EQ(b.sends(7), 2);
+  b.run_for(kSecond);
+  b.gateway().on_progress(b.now(), ProgressNote{7, 1, b.engine_of(7), NoteKind::kProgress, 0.04}, b);
+  b.run_for(50 * kMs);
+  EXPECT_EQ(b.count(Action::kCancel, 7), 1) << "slow again: heavy in itself, left to run";
+}
+
+TEST(BadPlans, AQueryToldToBeHeavyIsLeftToRun) {
+  Bench b(plain_settings());
+  b.list({engine(1), engine(2)});
+  b.request(7, 1, 15 * kSecond, 8'000'000);
+  b.run_for(3 * kSecond);
+  EXPECT_EQ(b.count(Action::kCancel, 7), 0);
+}
+
+TEST(BadPlans, ASlowdownSharedByAllCancelsNothing) {
+  Bench b(plain_settings());
+  b.list({engine(1), engine(2), engine(3), engine(4)});
+  for (RequestId id = 1; id <= 12; ++id) b.request(id, 0, 5 * kSecond, 200'000);
+  b.run_for(1500 * kMs);
+  int cancelled = 0;
+  for (RequestId id = 1; id <= 12; ++id) cancelled += b.count(Action::kCancel, id);
+  EXPECT_EQ(cancelled, 0);
+}
+
+TEST(Health, FastFailuresDoNotLookLikeAShortQueue) {
+  Bench b(plain_settings());
+  b.list({engine(1), engine(2), engine(3), engine(4)});
+  for (RequestId id = 1; id <= 60; ++id) {
+    b.request(id, 0, 5 * kSecond, 50'000);
+    b.run_for(10 * kMs);
+    for (int i = 0; i < 5 && b.engine_of(id) == 1; ++i) b.end(id, Outcome::kError);
+    b.end(id, Outcome::kOk, 50'000);
+  }
+  EXPECT_LE(b.sends_to(1), 6);
+}
+
+TEST(Health, ASilentEngineIsTakenOutAndTrialTrafficBringsItBack) {
+  Settings s = plain_settings();
+  s.may_cancel = false;
+  Bench b(s);
+  b.list({engine(1), engine(2), engine(3), engine(4)});
+  bool hung = true;
+  int during = 0;
+  std::set<RequestId> stuck;
+  const auto traffic = [&](RequestId from, RequestId to, int* count) {
+    for (RequestId id = from; id < to; ++id) {
+      b.request(id, 0, 5 * kSecond, 50'000);
+      b.run_for(50 * kMs);
+      if (b.engine_of(id) == 1 && count) ++*count;
+      if (b.engine_of(id) == 1 && hung) {
+        stuck.insert(id);
+      } else {
+        b.end(id, Outcome::kOk, 50'000);
+      }
+    }
+  };
+  traffic(1, 100, nullptr);
+  ASSERT_FALSE(b.logs.empty());
+  traffic(100, 200, &during);
+  EXPECT_LE(during, 5) << "only trials";
+  hung = false;
+  for (const RequestId id : stuck) b.end(id, Outcome::kTimeout);
+  traffic(200, 500, nullptr);
+  int after = 0;
+  traffic(500, 600, &after);
+  EXPECT_GE(after, 8) << "back in service";
+}
+
+TEST(Health, WhereMostEnginesLookBadNoneIsTakenOut) {
+  Bench b(plain_settings());
+  b.list({engine(1), engine(2), engine(3), engine(4)});
+  for (RequestId id = 1; id <= 60; ++id) {
+    b.request(id, 0, 5 * kSecond, 50'000);
+    b.run_for(10 * kMs);
+    for (int i = 0; i < 6 && !b.over(id) && b.sends(id) > i; ++i) b.end(id, Outcome::kError);
+  }
+  EXPECT_LE(b.logs.size(), 1u);
+  std::set<EngineId> used;
+  for (const Action& a : b.actions) {
+    if (a.kind == Action::kSend && a.id > 50) used.insert(a.engine);
+  }
+  EXPECT_GE(used.size(), 3u);
+}
+
+TEST(Terms, ShortQueriesGoFirstWherePrioritiesAreHeeded) {
+  Settings s = plain_settings();
+  s.priorities_heeded = true;
+  Bench b(s);
+  b.list({engine(1)});
+  b.request(1, 0, 5 * kSecond, 100'000);
+  b.request(2, 1, 15 * kSecond, 4'000'000);
+  EXPECT_GT(b.last(Action::kTerms, 1)->value, b.last(Action::kTerms, 2)->value);
+}
+
+TEST(Terms, GrantsFollowWhatQueriesTurnOutToNeed) {
+  Settings s = plain_settings();
+  s.grants_heeded = true;
+  s.most_grant = 0.4;
+  Bench b(s);
+  b.list({engine(1)});
+  const auto ask = [&](RequestId id, double need) {
+    QueryRequest r;
+    r.id = id;
+    r.due_us = b.now() + 5 * kSecond;
+    r.cost_us = 50'000;
+    r.need_mb = need;
+    b.gateway().on_request(b.now(), r, b);
+    return b.last(Action::kTerms, id)->amount;
+  };
+  const double before = ask(1, 100);
+  EXPECT_GT(before, 100);
+  for (RequestId id = 2; id < 80; ++id) {
+    ask(id, 100);
+    AttemptEnd end;
+    end.id = id;
+    end.engine = 1;
+    end.request_over = true;
+    end.took_us = 50'000;
+    end.work_us = 50'000;
+    end.used_mb = 200;
+    b.gateway().on_attempt_end(b.now(), end, b);
+  }
+  EXPECT_GT(ask(100, 100), 190);
+  EXPECT_LE(ask(101, 1e6), 0.4 * 16384 + 1);
+}
+
+TEST(Determinism, TheSameEventsGiveTheSameActions) {
+  const auto play = [] {
+    Bench b(plain_settings());
+    b.list({engine(1), engine(2), engine(3)});
+    for (RequestId id = 1; id <= 40; ++id) {
+      b.request(id, id % 5 == 0, 5 * kSecond, 100'000, id % 3);
+      b.run_for(10 * kMs);
+      if (b.sends(id)) b.end(id, id % 7 == 0 ? Outcome::kError : Outcome::kOk, 90'000, 3);
+    }
+    std::vector<std::pair<RequestId, EngineId>> sent;
+    for (const Action& a : b.actions) sent.emplace_back(a.id, a.engine);
+    return sent;
+  };
+  EXPECT_EQ(play(), play());
+}
+
+}  // namespace
+}  // namespace sablelink::test
--- /dev/null
+++ b/tests/rules_test.cpp
@@ -0,0 +1,324 @@
+// The seven rules, each by a case in which a send or an answer would break it.
+#include <gtest/gtest.h>
+
+#include "harness.h"
+
+namespace sablelink::test {
+namespace {
+
+TEST(FinalAnswer, ComesBeforeTheClientGivesUpThoughTheEngineIsSilent) {
+  Bench b(plain_settings());
+  b.list({engine(1)});
+  b.request(7, 1, 3 * kSecond);
+  ASSERT_EQ(b.sends(7), 1);
+  const TimeUs due = b.now() + 3 * kSecond;
+  b.run_for(4 * kSecond);
+  ASSERT_TRUE(b.over(7));
+  const Action* answer = b.last(Action::kRefuse, 7);
+  ASSERT_NE(answer, nullptr);
+  EXPECT_LE(answer->at, due + 20 * kMs);
+  EXPECT_EQ(b.count(Action::kRefuse, 7) + b.count(Action::kFail, 7), 1);
+}
+
+TEST(FinalAnswer, NothingIsSentForARequestWhoseClientLeft) {
+  Bench b(plain_settings());
+  b.list({engine(1)});
+  b.request(7, 0, 5 * kSecond);
+  b.leave(7);
+  b.end(7, Outcome::kReset);
+  b.run_for(kSecond);
+  EXPECT_EQ(b.sends(7), 1);
+  EXPECT_FALSE(b.over(7));
+}
+
+TEST(FinalAnswer, TheWireDeadlineCountsNotTheClassFigure) {
+  Bench b(plain_settings());
+  b.list({engine(1)});
+  b.request(7, 0, 200 * kMs);
+  b.run_for(300 * kMs);
+  EXPECT_TRUE(b.over(7));
+}
+
+TEST(Attempts, ThereAreNeverTwoAtOnce) {
+  Bench b(plain_settings());
+  b.list({engine(1), engine(2)});
+  b.request(7, 0, 5 * kSecond, 100'000);
+  b.run_for(900 * kMs);
+  ASSERT_EQ(b.count(Action::kCancel, 7), 1) << "far past its expectation: cancelled";
+  EXPECT_EQ(b.sends(7), 1) << "but not sent again before the outcome";
+  b.end(7, Outcome::kCancelled);
+  EXPECT_EQ(b.sends(7), 2);
+  EXPECT_NE(b.actions[0].engine, b.engine_of(7)) << "and elsewhere";
+}
+
+TEST(Attempts, EndAtTheMostAllowed) {
+  Settings s = plain_settings();
+  s.max_attempts = 2;
+  Bench b(s);
+  b.list({engine(1), engine(2)});
+  b.request(7, 0, 5 * kSecond);
+  b.end(7, Outcome::kError);
+  ASSERT_EQ(b.sends(7), 2);
+  b.end(7, Outcome::kError);
+  EXPECT_EQ(b.sends(7), 2);
+  EXPECT_TRUE(b.over(7));
+}
+
+TEST(Effects, FragileIsNeitherRepeatedNorRefusedOnceItMayHaveRun) {
+  for (const Outcome outcome : {Outcome::kError, Outcome::kTimeout, Outcome::kReset, Outcome::kCancelled}) {
+    Settings s = plain_settings();
+    s.classes[0].repeat = Repeat::kFragile;
+    Bench b(s);
+    b.list({engine(1), engine(2)});
+    b.request(7, 0, 5 * kSecond);
+    b.end(7, outcome);
+    b.run_for(100 * kMs);
+    EXPECT_EQ(b.sends(7), 1);
+    EXPECT_EQ(b.count(Action::kRefuse, 7), 0);
+    EXPECT_EQ(b.count(Action::kFail, 7), 1);
+  }
+}
+
+TEST(Effects, FragileMayGoAgainWhereItNeverRan) {
+  Settings s = plain_settings();
+  s.classes[0].repeat = Repeat::kFragile;
+  Bench b(s);
+  b.list({engine(1), engine(2)});
+  b.request(7, 0, 5 * kSecond);
+  b.end(7, Outcome::kConnectFailed);
+  EXPECT_EQ(b.sends(7), 2);
+}
+
+TEST(Effects, FragileOutAtItsDeadlineFailsAndIsNotRefused) {
+  Settings s = plain_settings();
+  s.classes[0].repeat = Repeat::kFragile;
+  Bench b(s);
+  b.list({engine(1)});
+  b.request(7, 0, 500 * kMs);
+  b.run_for(kSecond);
+  EXPECT_EQ(b.count(Action::kFail, 7), 1);
+  EXPECT_EQ(b.count(Action::kRefuse, 7), 0);
+}
+
+TEST(Effects, DedupStaysInItsGroupAndItsWindow) {
+  Settings s = plain_settings();
+  s.classes[0].repeat = Repeat::kDedup;
+  s.classes[0].key_scope = KeyScope::kZone;
+  s.classes[0].window_us = 2 * kSecond;
+  Bench b(s);
+  b.list({engine(1, 0), engine(2, 1), engine(3, 1), engine(4, 0)});
+  b.request(7, 0, 5 * kSecond);
+  const bool first_zone = b.engine_of(7) == 1 || b.engine_of(7) == 4;
+  b.end(7, Outcome::kReset);
+  ASSERT_EQ(b.sends(7), 2);
+  EXPECT_EQ(b.engine_of(7) == 1 || b.engine_of(7) == 4, first_zone);
+  b.run_for(2100 * kMs);
+  b.end(7, Outcome::kReset);
+  EXPECT_EQ(b.sends(7), 2) << "the window is past";
+  EXPECT_EQ(b.count(Action::kFail, 7), 1) << "and a refusal would invite a repeat elsewhere";
+}
+
+TEST(Effects, DedupOverAllMayBeRefused) {
+  Settings s = plain_settings();
+  s.classes[0].repeat = Repeat::kDedup;
+  s.classes[0].window_us = 100 * kMs;
+  Bench b(s);
+  b.list({engine(1)});
+  b.request(7, 0, 5 * kSecond);
+  b.run_for(200 * kMs);
+  b.end(7, Outcome::kReset);
+  b.run_for(100 * kMs);
+  EXPECT_EQ(b.sends(7), 1);
+  EXPECT_TRUE(b.over(7) || b.sends(7) == 1);
+  b.run_for(5 * kSecond);
+  EXPECT_EQ(b.count(Action::kRefuse, 7), 1);
+}
+
+TEST(Drains, NothingNewGoesToADrainingOrGoneEngine) {
+  for (const EngineState state : {EngineState::kDraining, EngineState::kGone}) {
+    Bench b(plain_settings());
+    b.list({engine(1), engine(2)});
+    EngineEntry changed = engine(1);
+    changed.state = state;
+    b.list({changed}, ListForm::kDelta);
+    for (RequestId id = 10; id < 30; ++id) b.request(id, 0, 5 * kSecond);
+    b.run_for(100 * kMs);
+    EXPECT_EQ(b.sends_to(1), 0);
+    EXPECT_GT(b.sends_to(2), 0);
+  }
+}
+
+TEST(Drains, AnEngineMissingFromAFullListIsGoneAndItsQueueMoves) {
+  Bench b(plain_settings());
+  b.list({engine(1)});
+  for (RequestId id = 10; id < 40; ++id) b.request(id, 1, 15 * kSecond);
+  const int before = b.sends_to(1);
+  b.list({engine(2)});
+  EXPECT_EQ(b.sends_to(1), before);
+  EXPECT_GT(b.sends_to(2), 0);
+  b.run_for(kSecond);
+  EXPECT_EQ(b.sends_to(1), before);
+}
+
+TEST(Drains, AFailedListChangesNothing) {
+  Bench b(plain_settings());
+  b.list({engine(1)});
+  b.list({}, ListForm::kFailed);
+  b.request(7, 0, 5 * kSecond);
+  EXPECT_EQ(b.engine_of(7), 1u);
+}
+
+// Work sent to a cold engine within one window, in core-microseconds: class 0 costs 200 ms.
+double cold_work(int instances, bool fresh_gateway) {
+  Settings s = plain_settings();
+  s.instances = instances;
+  Bench b(s);
+  if (!fresh_gateway) {
+    b.list({engine(1)});
+    for (RequestId id = 1; id <= 20; ++id) {
+      b.request(id, 0, 5 * kSecond);
+      b.run_for(20 * kMs);
+      b.end(id, Outcome::kOk, 200'000);
+    }
+    b.run_for(2 * kSecond);
+  }
+  b.list({engine(2, 0, 0, b.now())});
+  for (RequestId id = 100; id < 400; ++id) {
+    b.request(id, 0, 5 * kSecond);
+    if (b.sends(id)) b.end(id, Outcome::kFull);
+  }
+  return b.sends_to(2) * 200'000.0;
+}
+
+TEST(ColdEngines, GetNoMoreThanThisGatewaysPartOfTheBudgetRejectionsIncluded) {
+  const double limit = 3 * 0.35 * 8 * 1500'000;  // multiple x share x cores x window
+  const double alone = cold_work(1, false), of_three = cold_work(3, false);
+  EXPECT_GT(alone, 0);
+  EXPECT_LE(alone, 1.7 * limit);
+  EXPECT_GT(of_three, 0);
+  EXPECT_LE(of_three, 1.7 * limit / 3);
+}
+
+TEST(ColdEngines, AGatewayThatHasJustStartedTakesTheBudgetAsSpent) { EXPECT_EQ(cold_work(1, true), 0); }
+
+Settings ordered_settings() {
+  Settings s = plain_settings();
+  s.classes[0].in_order = true;
+  s.turn_gap_us = 300 * kMs;
+  return s;
+}
+
+TEST(Order, OneKeyRunsOneAtATimeInArrivalOrder) {
+  Bench b(ordered_settings());
+  b.list({engine(1), engine(2)});
+  for (RequestId id : {1, 2, 3}) b.request(id, 0, 5 * kSecond, -1, -1, 77);
+  b.request(4, 0, 5 * kSecond, -1, -1, 78);
+  b.request(5, 0, 5 * kSecond);
+  EXPECT_EQ(b.sends(1), 1);
+  EXPECT_EQ(b.sends(2) + b.sends(3), 0);
+  EXPECT_EQ(b.sends(4), 1) << "another key";
+  EXPECT_EQ(b.sends(5), 1) << "no key";
+  b.end(1, Outcome::kOk, 1000);
+  EXPECT_EQ(b.sends(2), 1);
+  EXPECT_EQ(b.sends(3), 0);
+}
+
+TEST(Order, AKeyRestsAfterAnAttemptThatMayStillRun) {
+  Bench b(ordered_settings());
+  b.list({engine(1), engine(2)});
+  b.request(1, 0, 5 * kSecond, -1, -1, 77);
+  b.request(2, 0, 5 * kSecond, -1, -1, 77);
+  b.leave(1);
+  b.run_for(50 * kMs);
+  EXPECT_EQ(b.sends(2), 0) << "the attempt of the one that left is still out";
+  b.end(1, Outcome::kCancelled);
+  b.run_for(250 * kMs);
+  EXPECT_EQ(b.sends(2), 0);
+  b.run_for(100 * kMs);
+  EXPECT_EQ(b.sends(2), 1);
+}
+
+TEST(Order, TheOneWithTheTurnIsTriedAgainWithoutAWait) {
+  Bench b(ordered_settings());
+  b.list({engine(1), engine(2)});
+  b.request(1, 0, 5 * kSecond, -1, -1, 77);
+  b.end(1, Outcome::kReset);
+  EXPECT_EQ(b.sends(1), 2);
+}
+
+TEST(Placement, HoldsAtEveryAttemptAndWhenAllAllowedAreGone) {
+  Settings s = plain_settings();
+  s.classes[0].only_zones = {1};
+  s.classes[0].only_kinds = {1};
+  Bench b(s);
+  b.list({engine(1, 0, 1), engine(2, 1, 0), engine(3, 1, 1)});
+  b.request(7, 0, 2 * kSecond);
+  EXPECT_EQ(b.engine_of(7), 3u);
+  b.end(7, Outcome::kConnectFailed);
+  b.list({engine(1, 0, 1), engine(2, 1, 0)});
+  b.request(8, 0, 2 * kSecond);
+  b.run_for(3 * kSecond);
+  EXPECT_EQ(b.sends_to(1) + b.sends_to(2), 0);
+  EXPECT_TRUE(b.over(8));
+}
+
+TEST(AttemptBudget, FurtherAttemptsAreRationedOverTheWindow) {
+  Settings s = plain_settings();
+  s.attempts_rationed = true;
+  s.budget_free = 2;
+  s.budget_per_request = 0.1;
+  s.budget_window_us = 10 * kSecond;
+  Bench b(s);
+  b.list({engine(1), engine(2), engine(3), engine(4), engine(5)});
+  int extra = 0;
+  for (RequestId id = 1; id <= 20; ++id) {
+    b.request(id, 0, 5 * kSecond);
+    b.end(id, Outcome::kFull);
+    if (b.sends(id) > 1) ++extra, b.end(id, Outcome::kOk, 1000);
+    EXPECT_LE(extra, 2 + 0.1 * id);
+  }
+  EXPECT_GE(extra, 3);
+  b.run_for(11 * kSecond);
+  b.request(50, 0, 5 * kSecond);
+  b.end(50, Outcome::kFull);
+  EXPECT_EQ(b.sends(50), 2) << "the window has moved on";
+}
+
+TEST(Streams, AStartedAnswerIsNeitherCancelledNorEnded) {
+  Settings s = plain_settings();
+  s.classes[0].stream = true;
+  Bench b(s);
+  b.list({engine(1)});
+  b.request(7, 0, kSecond, 10'000);
+  b.gateway().on_stream_started(b.now(), 7, 0, b);
+  b.run_for(8 * kSecond);
+  EXPECT_EQ(b.count(Action::kCancel, 7), 0);
+  EXPECT_FALSE(b.over(7));
+}
+
+TEST(Discovery, IsSubscribedToAndAskedAgainAfterAFailure) {
+  Settings s = plain_settings();
+  s.subscribe_discovery = true;
+  Bench b(s);
+  EXPECT_EQ(b.count(Action::kSubscribe, 0), 1);
+  b.list({}, ListForm::kFailed);
+  b.run_for(kSecond);
+  EXPECT_EQ(b.count(Action::kSubscribe, 0), 2);
+}
+
+TEST(Robustness, UnknownRequestsEnginesAndTimersArePassedOver) {
+  Bench b(plain_settings());
+  b.list({engine(1)});
+  b.leave(99);
+  b.gateway().on_timer(b.now(), 12345, b);
+  b.gateway().on_progress(b.now(), ProgressNote{99, 0, 1, NoteKind::kProgress, 0.5}, b);
+  AttemptEnd end;
+  end.id = 99;
+  end.engine = 55;
+  b.gateway().on_attempt_end(b.now(), end, b);
+  b.request(7, 9, kSecond);
+  EXPECT_EQ(b.count(Action::kRefuse, 7), 1) << "a class that the settings don't have";
+}
+
+}  // namespace
+}  // namespace sablelink::test
--- /dev/null
+++ b/tests/settings_test.cpp
@@ -0,0 +1,82 @@
+#include "settings.h"
+
+#include <gtest/gtest.h>
+
+namespace sablelink {
+namespace {
+
+const char kText[] =
+    "Discovery=subscribe\n"
+    "Extra.Grants=false\n"
+    "Extra.KindCores=8,16\n"
+    "Extra.MemoryShort=cut\n"
+    "Extra.ThreadsByClass=1,4\n"
+    "Extra.WaitsForLoads=false,true\n"
+    "Flavors=std-8a,std-8b\n"
+    "Zones=east-wing,west-wing\n"
+    "Instances=3\n"
+    "Limits.Cancel=true\n"
+    "Report.Fields=concurrent,depth,x0,x1\n"
+    "Some.Key.Of.Tomorrow=42\n"
+    "Services.count=2\n"
+    "Services.0.AimStretch=2.0\n"
+    "Services.0.AimUs=1500000\n"
+    "Services.0.DeadlineUs=7500000\n"
+    "Services.0.Repeat=retryable\n"
+    "Services.1.AimUs=2000000\n"
+    "Services.1.DeadlineUs=15000000\n"
+    "Services.1.LateWorth=0.4\n"
+    "Services.1.Repeat=dedup\n"
+    "Services.1.KeyScope=cell\n"
+    "Services.1.StaysIn=1\n"
+    "Services.1.RunsOn=std-8b\n"
+    "Services.1.ByArrival=true\n";
+
+TEST(Settings, ReadsWhatIsGivenAndKeepsDefaults) {
+  const Settings s = parse_settings(kText);
+  EXPECT_TRUE(s.subscribe_discovery);
+  EXPECT_EQ(s.instances, 3);
+  EXPECT_EQ(s.kind_cores, (std::vector<double>{8, 16}));
+  EXPECT_EQ(s.memory_short, MemoryShort::kCut);
+  ASSERT_EQ(s.classes.size(), 2u);
+  EXPECT_EQ(s.classes[0].aim_us, 1500000);
+  EXPECT_DOUBLE_EQ(s.classes[0].aim_stretch, 2);
+  EXPECT_DOUBLE_EQ(s.classes[1].threads, 4);
+  EXPECT_TRUE(s.classes[1].waits_for_loads);
+  EXPECT_EQ(s.classes[1].repeat, Repeat::kDedup);
+  EXPECT_EQ(s.classes[1].key_scope, KeyScope::kCell);
+  EXPECT_EQ(s.classes[1].only_zones, std::vector<int>{1});
+  EXPECT_EQ(s.classes[1].only_kinds, std::vector<int>{1});
+  EXPECT_TRUE(s.classes[1].in_order);
+  EXPECT_FALSE(s.attempts_rationed);
+  EXPECT_FALSE(s.second_copies);
+}
+
+TEST(Settings, ABudgetIsThereOnlyWithItsWindow) {
+  EXPECT_TRUE(parse_settings(std::string(kText) + "Rules.CountedOverUs=10000000\n").attempts_rationed);
+}
+
+void expect_error(const std::string& text, const std::string& key) {
+  try {
+    parse_settings(text);
+    ADD_FAILURE() << "no error for " << key;
+  } catch (const SettingsError& e) {
+    EXPECT_NE(std::string(e.what()).find(key), std::string::npos) << e.what();
+  }
+}
+
+TEST(Settings, NamesTheKeyThatCannotBeRead) {
+  expect_error(std::string(kText) + "Instances=three\n", "Instances");
+  expect_error(std::string(kText) + "Limits.Cancel=perhaps\n", "Limits.Cancel");
+  expect_error(std::string(kText) + "Services.1.Repeat=often\n", "Services.1.Repeat");
+  expect_error("Services.count=1\nServices.0.DeadlineUs=5\n", "Services.0.AimUs");
+  expect_error("Instances=3\n", "Services.count");
+}
+
+TEST(Settings, ReportFieldsKeepTheirOrder) {
+  EXPECT_EQ(parse_report_fields(kText), (std::vector<std::string>{"concurrent", "depth", "x0", "x1"}));
+  EXPECT_TRUE(parse_report_fields("").empty());
+}
+
+}  // namespace
+}  // namespace sablelink
