--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -38,8 +38,7 @@
 constexpr double kLearnRate = 0.05;           // weight of a new outcome in slow averages (class work, grants)
 constexpr double kPaceRate = 0.12;            // weight of a new outcome in paces: follows load within seconds
 constexpr double kClipTimes = 6;              // a told cost counts up to this many class means (bad plans)
-constexpr double kWaitMargin =
-    1.4;                        // waits run longer than estimated: who is just in time by estimate is late
+constexpr double kWaitMargin = 2.0;  // waits outrun estimates: who is just in time by estimate is late
 constexpr double kReach = 0.7;  // hopeless only if even this share of the estimated wait is too long
 
 constexpr double kBadPlanTimes = 3.0;  // an attempt this far past its expected time is taken for a bad plan
