--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -39,7 +39,7 @@
 constexpr double kPaceRate = 0.12;            // weight of a new outcome in paces: follows load within seconds
 constexpr double kClipTimes = 6;              // a told cost counts up to this many class means (bad plans)
 constexpr double kWaitMargin = 2.0;  // waits outrun estimates: who is just in time by estimate is late
-constexpr double kReach = 0.7;  // hopeless only if even this share of the estimated wait is too long
+constexpr double kReach = 0.7;       // hopeless only if even this share of the estimated wait is too long
 
 constexpr double kBadPlanTimes = 3.0;  // an attempt this far past its expected time is taken for a bad plan
 constexpr double kBadPlanEarly = 1.7;  // the same once only a fresh attempt could still meet the aim
@@ -344,6 +344,31 @@
     }
   }
 
+  // An engine with room and an empty queue takes over a query that waits for a longer drain elsewhere: plans
+  // go stale, above all with many gateways and thus few queries in each queue. What is late stays where it
+  // is.
+  void draw_in(Engine& e) {
+    while (e.queue.empty() && e.entry.state == EngineState::kReady) {
+      const double room = free_threads(e), own_drain = drain_us(e);
+      Query* best = nullptr;
+      int together = 0;
+      double longest = 0;
+      for (auto& [id, from] : engines_) {
+        const double drain = from.queue.empty() ? 0 : drain_us(from);
+        if (drain <= own_drain) continue;
+        for (Query* q : from.queue) {
+          if (room < kFitShare * q->cls->threads || now_ >= aim_at(*q)) continue;
+          const int gain = interaction_at(e, *q, 0);
+          if (best && (gain < together || (gain == together && drain <= longest))) continue;
+          if (may_send(*q, e) && in_service(*q, e)) best = q, together = gain, longest = drain;
+        }
+      }
+      if (!best) return;
+      unqueue(*best);
+      send(*best, e);
+    }
+  }
+
   void send(Query& q, Engine& e) {
     note_send(q, e);
     if (s_.priorities_heeded || s_.grants_heeded) {
@@ -796,6 +821,7 @@
       retry_or_conclude(q);
     }
     pump(e);
+    draw_in(e);
     serve_waiting();
   }
 
@@ -834,6 +860,7 @@
     check_overdue();
     check_silence();
     for (auto& [id, e] : engines_) pump(e);
+    for (auto& [id, e] : engines_) draw_in(e);
     serve_waiting();
   }
 
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -107,6 +107,16 @@
       << "incident i56d015: late queries at the front kept newcomers waiting past their aim";
 }
 
+TEST(Queue, AnEngineWithRoomDrawsInWhatWaitsElsewhere) {
+  Bench b(plain_settings());
+  b.list({engine(1)});
+  for (RequestId id = 1; id <= 8; ++id) b.request(id, 1, 15 * kSecond, 2'000'000);
+  ASSERT_LT(b.sends_to(1), 8);
+  b.list({engine(2)}, ListForm::kDelta);
+  b.run_for(20 * kMs);
+  EXPECT_GE(b.sends_to(2), 2) << "incident i56d015: plans made earlier left engines idle";
+}
+
 TEST(Refusal, IsAtOnceWhereWorthIsOutOfReachAndTellsWhenToComeBack) {
   Settings s = plain_settings();
   s.retry_after_heeded = true;
