--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -547,14 +547,15 @@
     return now_ >= e.ejected_until && e.running.empty() && e.queue.empty() && priority(q) != 1;
   }
 
-  void eject(Engine& e, const char* why) {
+  void eject(Engine& e, const char* why, bool unreachable = false) {
     size_t ready = 0, out = 0;
     for (const auto& [id, other] : engines_) {
       if (other.entry.state != EngineState::kReady) continue;
       ++ready;
       if (other.ejected_until != 0) ++out;
     }
-    if (e.ejected_until == 0 && 2 * (out + 1) > ready) return;  // most look bad: it is shared, eject none
+    // Most look bad: it is shared, eject none. But what can't be reached serves nothing, however many.
+    if (e.ejected_until == 0 && (unreachable ? out + 2 > ready : 2 * (out + 1) > ready)) return;
     if (e.ejected_until == 0) act_->log(std::string("engine taken out: ") + why);
     e.ejected_until = now_ + e.eject_for;
     e.eject_for = std::min(2 * e.eject_for, kEjectMostUs);
@@ -575,11 +576,11 @@
     const bool ok = outcome == Outcome::kOk;
     const bool bad =
         outcome == Outcome::kError || outcome == Outcome::kReset || outcome == Outcome::kConnectFailed;
+    const bool unreachable = outcome == Outcome::kConnectFailed;
     if (ok || bad) e.life_at = now_;
     if (outcome == Outcome::kFull) e.full_at = now_;
     if (!ok && !bad) return;
-    const double rate =
-        outcome == Outcome::kConnectFailed || outcome == Outcome::kReset ? 2 * kErrRate : kErrRate;
+    const double rate = unreachable || outcome == Outcome::kReset ? 2 * kErrRate : kErrRate;
     e.errors += rate * ((bad ? 1.0 : 0.0) - e.errors);
     if (e.ejected_until != 0 && ok && ++e.trial_oks >= kTrialOks) {
       e.ejected_until = 0;
@@ -587,8 +588,8 @@
       e.errors = std::min(e.errors, kErrEject / 2);
       e.slow = std::max(1.0, e.slow);
       act_->log("engine back in service");
-    } else if (bad && (e.ejected_until != 0 || e.errors > kErrEject + fleet_errors(e))) {
-      eject(e, "failures");
+    } else if (bad && (e.ejected_until != 0 || e.errors > kErrEject + (unreachable ? 0 : fleet_errors(e)))) {
+      eject(e, unreachable ? "unreachable" : "failures", unreachable);
     }
   }
 
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -236,6 +236,26 @@
   EXPECT_GE(used.size(), 3u);
 }
 
+TEST(Health, UnreachableEnginesAreTakenOutEvenWhereTheyAreMost) {
+  Bench b(plain_settings());
+  b.list({engine(1), engine(2), engine(3), engine(4)});
+  const auto traffic = [&](RequestId from, RequestId to) {
+    int lost = 0;
+    for (RequestId id = from; id < to; ++id) {
+      b.request(id, 0, 5 * kSecond, 50'000);
+      for (int i = 0; i < 5 && b.engine_of(id) != 4 && b.sends(id) > i; ++i) {
+        ++lost;
+        b.end(id, Outcome::kConnectFailed);
+      }
+      b.run_for(10 * kMs);
+      if (b.engine_of(id) == 4) b.end(id, Outcome::kOk, 50'000);
+    }
+    return lost;
+  };
+  traffic(1, 40);
+  EXPECT_LE(traffic(40, 140), 10) << "incident i5c8115: a gateway cut off from most engines kept trying them";
+}
+
 TEST(Terms, ShortQueriesGoFirstWherePrioritiesAreHeeded) {
   Settings s = plain_settings();
   s.priorities_heeded = true;
