--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -277,15 +277,10 @@
         options.emplace_back(&e, evaluate(e, q));
       }
     }
-    if (options.empty()) {
-      hold(q, later);
-      return;
-    }
+    if (options.empty()) return hold(q, later);
     const auto reachable = [](const auto& option) { return option.second.reachable; };
-    if (std::none_of(options.begin(), options.end(), reachable)) {
-      conclude(q);  // worth is out of reach on every engine
-      return;
-    }
+    // Where worth is out of reach on every engine, waiting helps nobody.
+    if (std::none_of(options.begin(), options.end(), reachable)) return conclude(q);
     double balance = options[0].second.balance;
     for (const auto& [e, g] : options) balance = std::max(balance, g.balance);
     std::erase_if(options, [&](const auto& option) { return option.second.balance < balance; });
@@ -318,28 +313,33 @@
 
   // Nothing can take the query now: it waits for a turn, a budget or an engine, while that can be in time.
   void hold(Query& q, bool later) {
-    if (!later && engines_known_) {
-      conclude(q);
-      return;
-    }
+    if (!later && engines_known_) return conclude(q);
     if (std::find(waiting_.begin(), waiting_.end(), &q) == waiting_.end()) waiting_.push_back(&q);
   }
 
   // Algorithm 9, for many at once: starts queries from the front while the run bound leaves room.
   void pump(Engine& e) {
     while (!e.queue.empty()) {
-      // What has passed its aim yields to what can still make it, or waits misjudged make all of them late.
-      auto next = std::find_if(e.queue.begin(), e.queue.end(), [&](Query* w) { return now_ < aim_at(*w); });
-      if (next == e.queue.end()) next = e.queue.begin();
-      Query& q = **next;
+      // What has passed its aim yields to what can still make it, or waits misjudged make all of them late;
+      // and in-time queries that need more threads than are free let lighter ones by.
+      const double room = free_threads(e);
+      bool any_in_time = false;
+      const auto next = std::find_if(e.queue.begin(), e.queue.end(), [&](const Query* w) {
+        const bool in_time = now_ < aim_at(*w);
+        any_in_time = any_in_time || in_time;
+        return in_time && room >= kFitShare * w->cls->threads;
+      });
+      if (next == e.queue.end() && any_in_time) return;
+      const auto chosen = next == e.queue.end() ? e.queue.begin() : next;
+      if (room < kFitShare * (*chosen)->cls->threads) return;
+      Query& q = **chosen;
       if (!may_send(q, e)) {
-        e.queue.erase(next);
+        e.queue.erase(chosen);
         q.engine = nullptr;
         hold(q, true);
         continue;
       }
-      if (free_threads(e) < kFitShare * q.cls->threads) return;
-      e.queue.erase(next);
+      e.queue.erase(chosen);
       send(q, e);
     }
   }
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -107,6 +107,20 @@
       << "incident i56d015: late queries at the front kept newcomers waiting past their aim";
 }
 
+TEST(Queue, ALongQueryThatDoesNotFitYetLetsAShortOneBy) {
+  Settings s = plain_settings();
+  s.classes[1].threads = 8;
+  Bench b(s);
+  b.list({engine(1)});
+  b.request(1, 1, 15 * kSecond, 3'000'000);
+  for (RequestId id = 2; id <= 5; ++id) b.request(id, 0, 5 * kSecond, 100'000);
+  b.request(6, 1, 15 * kSecond, 3'000'000);
+  ASSERT_EQ(b.sends(6), 0) << "12 threads run, 8 more don't fit";
+  b.request(7, 0, 5 * kSecond, 100'000);
+  EXPECT_EQ(b.sends(7), 1) << "incident i7f9fef: short ones were refused behind a long one";
+  EXPECT_EQ(b.sends(6), 0);
+}
+
 TEST(Queue, AnEngineWithRoomDrawsInWhatWaitsElsewhere) {
   Bench b(plain_settings());
   b.list({engine(1)});
