--- a/src/benchlink/codec.cpp
+++ b/src/benchlink/codec.cpp
@@ -79,7 +79,7 @@
   QueryRequest r;
   r.id = in.u32();
   r.cls = in.u16();
-  in.u16();  // tenant: no deployment of this service has any
+  r.tenant = in.u16();
   r.key = in.u64();
   r.due_us = static_cast<TimeUs>(in.u64());
   const uint32_t cost = in.u32();
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -46,6 +46,10 @@
   bool waits_for_loads = false;  // stands still while a load holds its group
 };
 
+struct TenantSettings {
+  double allowance_per_s = 0;  // requests within its share, over all gateways; 0: not told
+};
+
 struct Settings {
   int instances = 1;
   int self_index = 0;
@@ -53,6 +57,8 @@
   TimeUs tick_us = 1000;
   bool subscribe_discovery = false;
   std::vector<ClassSettings> classes;
+  std::vector<TenantSettings> tenants;
+  double over_share_worth = 1;  // share of its worth that a request past its tenant's share keeps
   std::vector<double> kind_cores;  // by kind; 0 or missing: unknown
   std::vector<double> kind_memory_mb;
   double most_grant = 1;
@@ -63,6 +69,8 @@
   MemoryShort memory_short = MemoryShort::kLineUp;
   bool may_cancel = false;
   bool may_probe = false;
+  bool reports_in_answers = true;  // else in probe results alone, or nowhere
+  bool reports_in_probes = false;
   bool may_tell_peers = false;
   bool second_copies = false;
   bool retry_after_heeded = false;
@@ -81,6 +89,7 @@
   double budget_per_request = 0;
   TimeUs budget_window_us = 0;
   double cross_zone_fee = 0;
+  double probe_fee = 0;
 };
 
 struct EngineEntry {
@@ -104,6 +113,7 @@
 struct QueryRequest {
   RequestId id = 0;
   int cls = 0;
+  int tenant = 0;
   uint64_t key = 0;               // 0: none
   TimeUs due_us = 0;              // when the client gives this try up
   std::optional<double> cost_us;  // estimated work of all threads, as time on one
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -32,6 +32,7 @@
 constexpr TimeUs kStallUs = 150 * kMs;        // no event for this long: this gateway stood still
 constexpr TimeUs kOthersTauUs = 400 * kMs;    // smoothing of reports; about their age, damps herding
 constexpr TimeUs kReportFadeUs = 3 * kSecond;  // in this a report fades to the fleet's mean
+constexpr TimeUs kTypicalTauUs = 4 * kSecond;  // smoothing of what this gateway itself has out
 constexpr TimeUs kFleetTauUs = 1 * kSecond;   // smoothing of the fleet's mean of reports
 constexpr double kLearnRate = 0.05;           // weight of a new outcome in slow averages (class work, grants)
 constexpr double kPaceRate = 0.12;            // weight of a new outcome in paces: follows load within seconds
@@ -63,6 +64,7 @@
 constexpr double kColdSigmas = 3.3;   // room for chance where gateways can only take their turns at random
 constexpr double kColdWindow = 1.15;  // the budget's window is kept this much longer, for the same reason
 constexpr double kGrantMargin = 1.1;  // memory granted over the corrected estimate
+constexpr double kEngineMargin = 1.25;  // the same where the engine chooses
 constexpr TimeUs kResubscribeUs = 500 * kMs;  // after a failed call to discovery
 constexpr TimeUs kRetryAfterLeastUs = 200 * kMs;
 constexpr uint32_t kHousekeepingToken = 1, kSubscribeToken = 2;
@@ -150,7 +152,7 @@
 
   // Means over the own running queries stand in for what others hold.
   void refresh_fleet() {
-    double n = 0, threads = 0, left = 0;
+    double n = 0, threads = 0, left = 0, mb = 0;
     own_all_ = fleet_bound_ = fleet_cores_ = 0;
     for (auto& [id, e] : engines_) {
       const TimeUs gap = now_ - e.averaged_at;
@@ -158,7 +160,7 @@
       if (gap > 0) e.own_avg += (1 - std::exp(-1.0 * gap / kOthersTauUs)) * (e.running.size() - e.own_avg);
       const double windows = 1.0 * std::min(gap, kStallUs) / std::max<TimeUs>(s_.fall_us, 1);
       if (cold(e)) e.cold_credit += windows * cold_budget(e) / kColdMargin;
-      for (const Query* q : e.running) left += remaining_work(*q, e);
+      for (const Query* q : e.running) left += remaining_work(*q, e), mb += granted_mb(*q, e);
       n += e.running.size();
       threads += own_threads(e);
       if (e.entry.state != EngineState::kReady) continue;
@@ -166,9 +168,11 @@
       fleet_bound_ += run_bound(e);
       fleet_cores_ += e.cores;
     }
+    own_typical_ += (own_all_ - own_typical_) * kHousekeepingUs / kTypicalTauUs;
     if (n == 0) return;
     held_threads_ += kLearnRate * (threads / n - held_threads_);
     held_work_ += kLearnRate * (left / n - held_work_);
+    held_mb_ += (held_mb_ > 0 ? kLearnRate : 1) * (mb / n - held_mb_);
   }
 
   // What others hold there: the last report, which fades to the fleet's mean as it ages.
@@ -412,10 +416,15 @@
     return work(q) < all / stats_.size();
   }
 
-  double grant_mb(const Query& q, const Engine& e) {
-    if (!s_.grants_heeded) return 0;
+  double grant_mb(const Query& q, const Engine& e) const {
+    return s_.grants_heeded ? granted_mb(q, e) : 0;
+  }
+
+  // Memory that the query is granted; the engines' own choice is like ours.
+  double granted_mb(const Query& q, const Engine& e) const {
     const ClassStats& c = stats(q);
-    const double grant = kGrantMargin * (q.req.need_mb > 0 ? q.req.need_mb * c.memory_ratio : c.memory_mb);
+    const double margin = s_.grants_heeded ? kGrantMargin : kEngineMargin;
+    const double grant = margin * (q.req.need_mb > 0 ? q.req.need_mb * c.memory_ratio : c.memory_mb);
     const bool told = e.entry.kind < static_cast<int>(s_.kind_memory_mb.size());
     return told ? std::min(grant, s_.most_grant * s_.kind_memory_mb[e.entry.kind]) : grant;
   }
@@ -477,7 +486,9 @@
   void learn_answer(Query& q, Engine& e, const AttemptEnd& end) {
     ClassStats& c = stats(q);
     const double took = std::max<double>(1, end.took_us);
-    const double told = end.work_us ? *end.work_us : took * q.cls->threads / c.pace;
+    // Work not told: the estimate stands in, and paces then hold its error too; else work by the pace known.
+    const bool known = end.work_us || q.req.cost_us;
+    const double told = end.work_us ? *end.work_us : known ? work(q) : took * q.cls->threads / c.pace;
     if (told <= 0) return;
     const double rate = std::max(kLearnRate, 1 / (c.answers + 2));
     if (q.req.cost_us && *q.req.cost_us > 0 && end.work_us)
@@ -488,8 +499,8 @@
       if (q.req.need_mb > 0) c.memory_ratio += rate * (*end.used_mb / q.req.need_mb - c.memory_ratio);
     }
     c.answers += 1;
-    // Paces are learned from told work only: without it, work and pace can't be told apart.
-    if (!end.work_us || now_ == woke_at_) return;
+    // Without either, work and pace can't be told apart.
+    if (!known || now_ == woke_at_) return;
     const double pace = std::clamp(took * q.cls->threads / told, 0.3, 30.0);
     const double against_fleet = std::clamp(pace / c.pace, 0.25, 4.0);
     c.pace *= std::pow(against_fleet, kPaceRate / 2);
@@ -625,9 +636,30 @@
     for (Engine* e : lone) eject(*e, "silence");
   }
 
+  // Queries that the engine holds, from whichever fields came. Busy cores stand for their share of the run
+  // bound: they say nothing past it, and little where memory pages. Memory in use goes on growing.
+  std::optional<double> held_by(const LoadReport& r, const Engine& e) const {
+    const auto usable = [](const std::optional<double>& v) { return v && std::isfinite(*v) && *v >= 0; };
+    if (usable(r.held)) return *r.held;
+    const bool told = e.entry.kind < static_cast<int>(s_.kind_memory_mb.size()) && held_mb_ > 0;
+    const double filled = told ? s_.kind_memory_mb[e.entry.kind] / held_mb_ : 0;  // queries that fill it
+    std::optional<double> held;
+    if (usable(r.cpu_share)) held = *r.cpu_share * e.cores * kThreadsPerCore / held_threads_;
+    if (usable(r.memory_share) && told) held = std::max(held.value_or(0), *r.memory_share * filled);
+    if (!usable(r.waiting)) return held;
+    if (!held) held = *r.waiting > 0 ? filled : std::min(filled, typical(e));
+    return *held + *r.waiting;
+  }
+
+  // Where nothing is reported a gateway takes itself for typical: all hold what it holds.
+  double typical(const Engine& e) const {
+    return own_typical_ * s_.instances / std::max(fleet_cores_, 1.0) * e.cores / held_threads_;
+  }
+
   void take_report(Engine& e, const std::optional<LoadReport>& report) {
-    if (!report || !report->held) return;
-    const double seen = std::max(0.0, *report->held - e.own_avg);
+    const std::optional<double> held = report ? held_by(*report, e) : std::nullopt;
+    if (!held) return;
+    const double seen = std::max(0.0, *held - e.own_avg);
     const double gap = (now_ - e.report_at);
     const double rate = e.heard ? 1 - std::exp(-gap / kOthersTauUs) : 1;
     e.others += std::max(rate, 0.1) * (seen - e.others);
@@ -905,6 +937,8 @@
   double pace_ = kFirstPace;    // time over work divided by threads, all classes
   double held_threads_ = 1.5;   // of a query that an engine holds
   double held_work_ = 500'000;  // work left of one, microseconds
+  double held_mb_ = 0;          // memory granted to one
+  double own_typical_ = 0;      // threads of own attempts, smoothed
   double fleet_others_ = 0;     // queries of other gateways a core, mean of the fleet
   TimeUs fleet_at_ = 0;
   double most_threads_ = 1;     // of a query of any class
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -123,6 +123,30 @@
   in.indices(p + "RunsOn", "Flavors", c.only_kinds);
 }
 
+// Tenants come as a list of objects; some deployments have none.
+void read_tenants(const Reader& in, Settings& s) {
+  int tenants = 0;
+  in.number("Tenants.count", tenants);
+  if (tenants < 0 || tenants > 65536) throw SettingsError("settings: Tenants.count is not usable");
+  s.tenants.resize(tenants);
+  for (int i = 0; i < tenants; ++i) {
+    const std::string key = "Tenants." + std::to_string(i) + ".AllowancePerS";
+    in.number(key, s.tenants[i].allowance_per_s);
+    if (s.tenants[i].allowance_per_s < 0) throw SettingsError("settings: " + key + " is below 0");
+  }
+  in.number("OverShareWorth", s.over_share_worth);
+}
+
+// Load reports come with answers and probes, with probes alone, or not at all.
+void read_report_source(const Reader& in, Settings& s) {
+  enum class Source { kInline, kOnProbe, kOff };
+  Source source = Source::kInline;
+  in.word("Report.Source",
+          {{"inline", Source::kInline}, {"on_probe", Source::kOnProbe}, {"off", Source::kOff}}, source);
+  s.reports_in_answers = source == Source::kInline;
+  s.reports_in_probes = source != Source::kOff;
+}
+
 }  // namespace
 
 Settings parse_settings(std::string_view text) {
@@ -182,6 +206,9 @@
   in.number("Rules.ExtraPerRequest", s.budget_per_request);
   in.number("Rules.CountedOverUs", s.budget_window_us);
   in.number("Fees.CrossZone", s.cross_zone_fee);
+  in.number("Fees.Probe", s.probe_fee);
+  read_tenants(in, s);
+  read_report_source(in, s);
   return s;
 }
 
