--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -24,6 +24,10 @@
 constexpr double kThreadsPerCore = 1.85;  // run bound: engines peak between one and two threads a core
 constexpr double kPressedShare = 0.8;     // of the run bound in threads: from here on the bound binds
 constexpr double kUnrankedShare = 0.65;   // of the fleet's bounds: from here heavy queries wait if unranked
+constexpr double kLightShare = 1.3;     // ... and from here light ones where memory is overcommitted
+constexpr int kProbes = 3;                 // engines asked before a heavy query goes out
+constexpr double kProbeFeeMost = 0.05;     // ... where that costs less than this
+constexpr TimeUs kProbeFreshUs = 500 * kMs;  // a report younger than this needs no probe
 constexpr double kDefaultCores = 8;       // where the kind's cores aren't told
 constexpr double kFirstPace = 1.3;        // until answers tell: a shared engine takes a little longer
 constexpr double kFitShare = 0.5;         // a query starts when this share of its threads is free
@@ -36,8 +40,10 @@
 constexpr TimeUs kFleetTauUs = 1 * kSecond;   // smoothing of the fleet's mean of reports
 constexpr double kLearnRate = 0.05;           // weight of a new outcome in slow averages (class work, grants)
 constexpr double kPaceRate = 0.12;            // weight of a new outcome in paces: follows load within seconds
+constexpr double kRareRate = 0.4;             // ... at the most, where news of an engine is rare
 constexpr double kClipTimes = 6;              // a told cost counts up to this many class means (bad plans)
 constexpr double kWaitMargin = 2.0;  // waits outrun estimates: who is just in time by estimate is late
+constexpr double kSpent = 1.3;      // out for this share of its useful time an attempt earns nothing any more
 constexpr double kReach = 0.7;       // hopeless only if even this share of the estimated wait is too long
 
 constexpr double kBadPlanTimes = 3.0;  // an attempt this far past its expected time is taken for a bad plan
@@ -177,7 +183,8 @@
 
   // What others hold there: the last report, which fades to the fleet's mean as it ages.
   double others(const Engine& e) const {
-    const double mean = fleet_others_ * e.cores * warmth(e);
+    const double each = fleet_at_ ? fleet_others_ * e.cores : std::max(0.0, typical(e) - e.own_avg);
+    const double mean = each * warmth(e);
     return e.heard ? mean + (e.others - mean) * std::exp(-1.0 * (now_ - e.report_at) / kReportFadeUs) : mean;
   }
 
@@ -205,8 +212,11 @@
   // Where the whole fleet is over its bound, heavy queries wait until this gateway holds less than its part.
   bool fits(const Query& q, double free) const {
     if (free < kFitShare * q.cls->threads) return false;
-    const double held = fleet_others_ * fleet_cores_ * held_threads_ + own_all_;
-    if (light(q) || held <= (s_.priorities_heeded ? 1 : kUnrankedShare) * fleet_bound_) return true;
+    const double heard = fleet_others_ * fleet_cores_ * held_threads_;
+    const double held = own_all_ + (fleet_at_ ? heard : own_typical_ * (s_.instances - 1));
+    if (light(q) && s_.memory_short != MemoryShort::kOvercommit) return true;
+    const double share = light(q) ? kLightShare : s_.priorities_heeded ? 1 : kUnrankedShare;
+    if (held <= share * fleet_bound_) return true;
     return own_all_ + kFitShare * q.cls->threads <= std::max(fleet_bound_ / s_.instances, most_threads_);
   }
 
@@ -280,6 +290,7 @@
   // time, the same zone counting for a little, and to a seeded pick.
   void place(Query& q) {
     q.engine = nullptr;
+    if (now_ < q.probes_until) return hold(q, true);
     std::vector<std::pair<Engine*, Gain>> options;
     bool later = false;
     for (int pass = 0; pass < 2 && options.empty(); ++pass)
@@ -291,6 +302,7 @@
       }
     if (options.empty()) return hold(q, later);
     add_home_gain(q, options);
+    if (ask_first(q, options)) return hold(q, true);
     const auto reachable = [](const auto& option) { return option.second.reachable; };
     // Where worth is out of reach on every engine, waiting helps nobody.
     if (std::none_of(options.begin(), options.end(), reachable)) return conclude(q);
@@ -332,6 +344,25 @@
     for (size_t k = 0; k < homes; ++k) order[k].second->interaction += 1;
   }
 
+  // Where a gateway hears from an engine every 10 s or never, it asks a few before each heavy query goes out:
+  // those of highest interaction gain, then any. The fee is paid by few queries, and the news serves all.
+  bool ask_first(Query& q, const std::vector<std::pair<Engine*, Gain>>& options) {
+    const bool pays = s_.may_probe && s_.reports_in_probes && kProbes * s_.probe_fee <= kProbeFeeMost;
+    if (!pays || light(q) || q.probes_until > 0) return false;
+    std::vector<std::pair<double, Engine*>> order;
+    for (const auto& [e, g] : options)
+      if (e->probe_at == 0 && (!e->heard || now_ - e->report_at > kProbeFreshUs))
+        order.emplace_back(-g.interaction + pick(1000) * 1e-3, e);
+    const size_t asked = std::min<size_t>(order.size(), kProbes);
+    std::partial_sort(order.begin(), order.begin() + asked, order.end());
+    for (size_t k = 0; k < asked; ++k) {
+      order[k].second->probe_at = now_;
+      act_->probe(order[k].second->entry.engine);
+    }
+    if (asked > 0) q.probes_until = now_ + 3 * s_.tick_us;
+    return asked > 0;
+  }
+
   // Nothing can take the query now: it waits for a turn, a budget or an engine, while that can be in time.
   void hold(Query& q, bool later) {
     if (!later && engines_known_) return conclude(q);
@@ -503,12 +534,28 @@
     if (!known || now_ == woke_at_) return;
     const double pace = std::clamp(took * q.cls->threads / told, 0.3, 30.0);
     const double against_fleet = std::clamp(pace / c.pace, 0.25, 4.0);
+    learn_slow(e, against_fleet);
     c.pace *= std::pow(against_fleet, kPaceRate / 2);
     pace_ *= std::pow(std::clamp(pace / pace_, 0.25, 4.0), kPaceRate / 4);
-    e.slow = std::clamp(e.slow * std::pow(against_fleet / e.slow, kPaceRate), 0.5, kSlowMost);
+  }
+
+  // An engine's slow factor; rare news counts for more.
+  void learn_slow(Engine& e, double against_fleet) {
+    const double gap = now_ - std::max(e.slow_at, started_at_);
+    const double rate = std::clamp(1 - std::exp(-gap / kForgetSlowUs), kPaceRate, kRareRate);
+    e.slow = std::clamp(e.slow * std::pow(against_fleet / e.slow, rate), 0.5, kSlowMost);
     e.slow_at = now_;
   }
 
+  // An attempt that was cut short took at least as long as it was out: news where it was overdue. Else an
+  // engine that jams or slows down more and more is never judged, as answers come only from the others.
+  // Hurts a little where a bad plan was at fault.
+  void learn_cut(const Query& q, Engine& e, TimeUs took) {
+    const double times = took / (run_us(q, e) / slow(e));
+    if (times > std::max(kBadPlanEarly, e.slow) && took > kBadPlanFloorUs)
+      learn_slow(e, std::min(times, 4.0));
+  }
+
   void retry_or_conclude(Query& q) {
     const TimeUs left = last_use(q) - now_;
     return q.attempts >= s_.max_attempts || !within_budget(q) || left <= 0 ? conclude(q) : place(q);
@@ -583,7 +630,7 @@
       e.ejected_until = 0;
       e.eject_for = kEjectUs;
       e.errors = std::min(e.errors, kErrEject / 2);
-      e.slow = std::max(1.0, e.slow);
+      e.slow = 1;
       act_->log("engine back in service");
     } else if (bad && (e.ejected_until != 0 || e.errors > kErrEject + (unreachable ? 0 : fleet_errors(e)))) {
       eject(e, unreachable ? "unreachable" : "failures", unreachable);
@@ -859,6 +906,7 @@
       rest = std::max(rest, now_ + s_.turn_gap_us);
     }
     if (end.outcome == Outcome::kOk) learn_answer(q, e, end);
+    if (end.outcome == Outcome::kCancelled || end.outcome == Outcome::kTimeout) learn_cut(q, e, end.took_us);
     learn_health(e, end.outcome);
     q.avoid = end.outcome == Outcome::kOk ? 0 : end.engine;
     if (end.request_over || q.finished || end.outcome == Outcome::kOk) {
@@ -883,6 +931,19 @@
     q->foretold_us = static_cast<TimeUs>((now_ - q->sent_at) / std::clamp(note.value, kLeastProgress, 1.0));
   }
 
+  // A probe shares the engine with what runs there: where none comes back in time, nothing does.
+  void on_probe_end(EngineId id, Outcome outcome, const std::optional<LoadReport>& report) {
+    const auto it = engines_.find(id);
+    if (it == engines_.end()) return;
+    Engine& e = it->second;
+    e.probe_at = 0;
+    take_report(e, report);
+    if (outcome == Outcome::kOk) e.life_at = now_;
+    else if (outcome == Outcome::kTimeout && now_ != woke_at_) eject(e, "silence");
+    else learn_health(e, outcome);
+    serve_waiting();
+  }
+
   void on_client_left(RequestId id) {
     const auto it = queries_.find(id);
     if (it == queries_.end()) return;
@@ -914,7 +975,10 @@
       if (q.finished || q.streaming) continue;
       const bool due = now_ + 2 * s_.tick_us + kHousekeepingUs >= q.req.due_us;
       const double run = q.engine ? run_us(q, *q.engine) : 0;
-      if (due || (!q.out && now_ + kReach * run >= last_use(q))) hopeless.push_back(&q);
+      // What is out past all worth holds room that others need; its aim is known to an estimate.
+      const bool spent = q.out && s_.may_cancel && may_refuse(q) && now_ != woke_at_ &&
+                         now_ > q.arrived + kSpent * (last_use(q) - q.arrived);
+      if (due || spent || (!q.out && now_ + kReach * run >= last_use(q))) hopeless.push_back(&q);
     }
     for (Query* q : hopeless) conclude(*q);
   }
@@ -972,8 +1036,11 @@
 void Gateway::on_progress(TimeUs now, const ProgressNote& n, Actions& a) { impl_->at(now, a).on_progress(n); }
 void Gateway::on_client_left(TimeUs now, RequestId id, Actions& a) { impl_->at(now, a).on_client_left(id); }
 void Gateway::on_timer(TimeUs now, uint32_t token, Actions& a) { impl_->at(now, a).on_timer(token); }
-// Probes and peer messages are never asked for: reports come with answers, and both cost a fee.
-void Gateway::on_probe_end(TimeUs, EngineId, Outcome, TimeUs, const std::optional<LoadReport>&, Actions&) {}
+void Gateway::on_probe_end(TimeUs now, EngineId engine, Outcome outcome, TimeUs,
+                           const std::optional<LoadReport>& report, Actions& a) {
+  impl_->at(now, a).on_probe_end(engine, outcome, report);
+}
+// Peer messages are never asked for: they cost a fee.
 void Gateway::on_peer_message(TimeUs, int, std::string_view, Actions&) {}
 
 }  // namespace sablelink
--- a/src/state.h
+++ b/src/state.h
@@ -29,6 +29,7 @@
   TimeUs foretold_us = 0;    // whole time of the running attempt by its progress notes; 0: no note
   EngineId avoid = 0;        // where the last attempt went wrong
   Engine* engine = nullptr;  // queued or running there
+  TimeUs probes_until = 0;   // answers to the probes sent for it are waited for until then; 0: none sent
 };
 
 struct Engine {
@@ -41,6 +42,7 @@
   bool heard = false;
   TimeUs averaged_at = 0;
   TimeUs report_at = 0;
+  TimeUs probe_at = 0;                // a probe is out since then; 0: none is
   TimeUs full_at = 0;                 // last 'full'; 0: never
   TimeUs life_at = 0;                 // last sign of life
   int64_t last_group = -1;            // table group of the query started there last
