--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "gateway.h"
+#include "random.h"
 #include "state.h"
 
 namespace sablelink {
@@ -27,6 +28,7 @@
 constexpr double kLightShare = 1.3;     // ... and from here light ones where memory is overcommitted
 constexpr int kProbes = 3;                 // engines asked before a heavy query goes out
 constexpr double kProbeFeeMost = 0.05;     // ... where that costs less than this
+constexpr double kProbeMost = 4;           // run bounds that a late probe stands for at the most
 constexpr TimeUs kProbeFreshUs = 500 * kMs;  // a report younger than this needs no probe
 constexpr double kDefaultCores = 8;       // where the kind's cores aren't told
 constexpr double kFirstPace = 1.3;        // until answers tell: a shared engine takes a little longer
@@ -183,8 +185,7 @@
 
   // What others hold there: the last report, which fades to the fleet's mean as it ages.
   double others(const Engine& e) const {
-    const double each = fleet_at_ ? fleet_others_ * e.cores : std::max(0.0, typical(e) - e.own_avg);
-    const double mean = each * warmth(e);
+    const double mean = (fleet_at_ ? fleet_others_ * e.cores : typical(e)) * warmth(e);
     return e.heard ? mean + (e.others - mean) * std::exp(-1.0 * (now_ - e.report_at) / kReportFadeUs) : mean;
   }
 
@@ -285,7 +286,6 @@
     return interaction(before, q) + (after ? interaction(q, *after) - interaction(before, *after) : 0);
   }
 
-
   // Algorithm 5: best balance gain, then the drain guard, then interaction gain; ties go to the lower drain
   // time, the same zone counting for a little, and to a seeded pick.
   void place(Query& q) {
@@ -322,7 +322,7 @@
       const bool level = best && g.interaction == best->interaction, tie = level && cost == best_cost;
       const bool better = !best || g.interaction > best->interaction || (level && cost < best_cost);
       ties = better ? 1 : ties + tie;
-      if (better || (tie && pick(ties) == 0)) q.engine = e, best = &g, best_cost = cost;
+      if (better || (tie && random_.pick(ties) == 0)) q.engine = e, best = &g, best_cost = cost;
     }
     auto& queue = q.engine->queue;
     queue.insert(queue.begin() + static_cast<std::ptrdiff_t>(best->position), &q);
@@ -335,7 +335,7 @@
     if (q.req.table_group < 0) return;
     std::vector<std::pair<double, Gain*>> order;
     for (auto& [e, g] : options) {
-      const double u = (mix(e->entry.engine * 0x9e3779b97f4a7c15ull ^ q.req.table_group) >> 11) * 0x1p-53;
+      const double u = unit(mix(e->entry.engine * 0x9e3779b97f4a7c15ull ^ q.req.table_group));
       const double far = e->entry.zone != s_.zone && s_.cross_zone_fee > kCheapCrossing ? kFarHome : 1;
       order.emplace_back(-std::log(u + 1e-12) / e->cores * far, &g);
     }
@@ -352,7 +352,7 @@
     std::vector<std::pair<double, Engine*>> order;
     for (const auto& [e, g] : options)
       if (e->probe_at == 0 && (!e->heard || now_ - e->report_at > kProbeFreshUs))
-        order.emplace_back(-g.interaction + pick(1000) * 1e-3, e);
+        order.emplace_back(random_.draw() - g.interaction, e);
     const size_t asked = std::min<size_t>(order.size(), kProbes);
     std::partial_sort(order.begin(), order.begin() + asked, order.end());
     for (size_t k = 0; k < asked; ++k) {
@@ -466,17 +466,6 @@
     return static_cast<TimeUs>(2 * kBadPlanTimes * run_us(q, e)) + kBadPlanFloorUs;
   }
 
-  uint64_t pick(int n) {
-    random_ += 0x9e3779b97f4a7c15ull;
-    return mix(random_) % static_cast<uint64_t>(n);
-  }
-
-  static uint64_t mix(uint64_t z) {
-    z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ull;
-    z = (z ^ (z >> 27)) * 0x94d049bb133111ebull;
-    return z ^ (z >> 31);
-  }
-
   // ---- Outcomes and retries ------------------------------------------------------------------------------
 
   // The final answer, at once. Refused where that is allowed, as only then the client knows it may come back.
@@ -694,19 +683,19 @@
     if (usable(r.cpu_share)) held = *r.cpu_share * e.cores * kThreadsPerCore / held_threads_;
     if (usable(r.memory_share) && told) held = std::max(held.value_or(0), *r.memory_share * filled);
     if (!usable(r.waiting)) return held;
-    if (!held) held = *r.waiting > 0 ? filled : std::min(filled, typical(e));
+    if (!held) held = *r.waiting > 0 ? filled : std::min(filled, e.own_avg + typical(e));
     return *held + *r.waiting;
   }
 
-  // Where nothing is reported a gateway takes itself for typical: all hold what it holds.
+  // Where nothing is reported a gateway takes itself for typical: the others hold what it holds, each.
   double typical(const Engine& e) const {
-    return own_typical_ * s_.instances / std::max(fleet_cores_, 1.0) * e.cores / held_threads_;
+    return own_typical_ * (s_.instances - 1) / std::max(fleet_cores_, 1.0) * e.cores / held_threads_;
   }
 
-  void take_report(Engine& e, const std::optional<LoadReport>& report) {
+  void take_report(Engine& e, const std::optional<LoadReport>& report, double least = 0) {
     const std::optional<double> held = report ? held_by(*report, e) : std::nullopt;
-    if (!held) return;
-    const double seen = std::max(0.0, *held - e.own_avg);
+    if (!held && least <= 0) return;
+    const double seen = std::max(0.0, std::max(held.value_or(0), least) - e.own_avg);
     const double gap = (now_ - e.report_at);
     const double rate = e.heard ? 1 - std::exp(-gap / kOthersTauUs) : 1;
     e.others += std::max(rate, 0.1) * (seen - e.others);
@@ -742,7 +731,7 @@
     if (cold(e)) {
       e.cold_sent.emplace_back(now_, stats(q).work_us);
       e.cold_credit = 0;
-      e.cold_draw = (pick(1000) + 0.5) / 1000;
+      e.cold_draw = random_.draw();
     }
     if (q.attempts > 0) extra_at_.push_back(now_);
   }
@@ -838,7 +827,7 @@
       if (!fresh) continue;
       e.eject_for = kEjectUs;
       e.life_at = e.averaged_at = now_;
-      e.cold_draw = (pick(1000) + 0.5) / 1000;
+      e.cold_draw = random_.draw();
       // A gateway that has just started may have spent its budget in its former life.
       if (now_ - started_at_ <= s_.fall_us && cold(e)) e.cold_sent.emplace_back(now_, cold_budget(e));
     }
@@ -931,13 +920,20 @@
     q->foretold_us = static_cast<TimeUs>((now_ - q->sent_at) / std::clamp(note.value, kLeastProgress, 1.0));
   }
 
-  // A probe shares the engine with what runs there: where none comes back in time, nothing does.
-  void on_probe_end(EngineId id, Outcome outcome, const std::optional<LoadReport>& report) {
+  // A deep probe shares the engine with what runs there. Its time against the zone's best tells an engine that
+  // is past its peak, jams or ages, where busy cores look like an idle engine's; none back in time, it hangs.
+  void on_probe_end(EngineId id, Outcome outcome, TimeUs took, const std::optional<LoadReport>& report) {
     const auto it = engines_.find(id);
     if (it == engines_.end()) return;
     Engine& e = it->second;
     e.probe_at = 0;
-    take_report(e, report);
+    double least = 0;
+    if (outcome == Outcome::kOk && took > 0) {
+      TimeUs& best = best_probe_.try_emplace(e.entry.zone, took).first->second;
+      best = std::min(best, took);
+      least = std::min(1.0 * took / best - 1, kProbeMost) * run_bound(e) / held_threads_;
+    }
+    take_report(e, report, report ? least : 0);
     if (outcome == Outcome::kOk) e.life_at = now_;
     else if (outcome == Outcome::kTimeout && now_ != woke_at_) eject(e, "silence");
     else learn_health(e, outcome);
@@ -991,12 +987,13 @@
 
  private:
   Settings s_;
-  uint64_t random_;
+  Random random_;
   std::vector<ClassStats> stats_;
   std::map<EngineId, Engine> engines_;
   std::map<RequestId, Query> queries_;
   std::map<uint64_t, Turns> turns_;
   std::vector<Query*> waiting_;
+  std::map<int, TimeUs> best_probe_;  // shortest time of a probe, by zone
   std::deque<TimeUs> taken_at_, extra_at_;
   double pace_ = kFirstPace;    // time over work divided by threads, all classes
   double held_threads_ = 1.5;   // of a query that an engine holds
@@ -1005,12 +1002,10 @@
   double own_typical_ = 0;      // threads of own attempts, smoothed
   double fleet_others_ = 0;     // queries of other gateways a core, mean of the fleet
   TimeUs fleet_at_ = 0;
-  double most_threads_ = 1;     // of a query of any class
-  double late_share_ = 0;       // of the attempts that are out, smoothed
+  double most_threads_ = 1, late_share_ = 0;  // of a query of any class; of the attempts out, smoothed
   double own_all_ = 0;          // threads of own attempts that are out
   double fleet_bound_ = 0, fleet_cores_ = 0;  // run bounds and cores of the engines that are ready, together
-  TimeUs woke_at_ = 0;          // end of the last stall of this gateway
-  TimeUs started_at_ = 0;
+  TimeUs started_at_ = 0, woke_at_ = 0;  // woke: end of the last stall of this gateway
   bool engines_known_ = false;
   TimeUs now_ = 0;
   Actions* act_ = nullptr;
@@ -1036,9 +1031,9 @@
 void Gateway::on_progress(TimeUs now, const ProgressNote& n, Actions& a) { impl_->at(now, a).on_progress(n); }
 void Gateway::on_client_left(TimeUs now, RequestId id, Actions& a) { impl_->at(now, a).on_client_left(id); }
 void Gateway::on_timer(TimeUs now, uint32_t token, Actions& a) { impl_->at(now, a).on_timer(token); }
-void Gateway::on_probe_end(TimeUs now, EngineId engine, Outcome outcome, TimeUs,
+void Gateway::on_probe_end(TimeUs now, EngineId engine, Outcome outcome, TimeUs took,
                            const std::optional<LoadReport>& report, Actions& a) {
-  impl_->at(now, a).on_probe_end(engine, outcome, report);
+  impl_->at(now, a).on_probe_end(engine, outcome, took, report);
 }
 // Peer messages are never asked for: they cost a fee.
 void Gateway::on_peer_message(TimeUs, int, std::string_view, Actions&) {}
