--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -13,14 +13,12 @@
 namespace sablelink {
 namespace {
 
-// ---- Constants -------------------------------------------------------------------------------------------
-
 constexpr TimeUs kMs = 1'000, kSecond = 1'000'000;
 
 constexpr double kGuard = 0.5;  // c of the design: drain times up to (1 + c) x the smallest compete
 constexpr TimeUs kDrainSlackUs = 30 * kMs;  // drain times this close tie, or idle engines never would
 constexpr TimeUs kZoneDetourUs = 60 * kMs;  // another zone's engine must have a drain this much shorter
-constexpr size_t kHomes = 2;  // engines that gateways agree on for a table group
+constexpr size_t kHomes = 4;  // engines that gateways agree on for a table group
 constexpr double kCheapCrossing = 0.01, kFarHome = 3;  // over this fee, engines far off are less likely homes
 constexpr double kThreadsPerCore = 1.85;  // run bound: engines peak between one and two threads a core
 constexpr double kPressedShare = 0.8;     // of the run bound in threads: from here on the bound binds
@@ -41,38 +39,32 @@
 constexpr TimeUs kTypicalTauUs = 4 * kSecond;  // smoothing of what this gateway itself has out
 constexpr TimeUs kFleetTauUs = 1 * kSecond;   // smoothing of the fleet's mean of reports
 constexpr double kLearnRate = 0.05;           // weight of a new outcome in slow averages (class work, grants)
-constexpr double kPaceRate = 0.12;            // weight of a new outcome in paces: follows load within seconds
-constexpr double kRareRate = 0.4;             // ... at the most, where news of an engine is rare
+constexpr double kPaceRate = 0.12, kRareRate = 0.4;  // the same in paces; in slow factors where news is rare
 constexpr double kClipTimes = 6;              // a told cost counts up to this many class means (bad plans)
 constexpr double kWaitMargin = 2.0;  // waits outrun estimates: who is just in time by estimate is late
-constexpr double kSpent = 1.3;      // out for this share of its useful time an attempt earns nothing any more
+constexpr double kSpent = 1.3;       // an attempt out for this share of its useful time earns nothing more
 constexpr double kReach = 0.7;       // hopeless only if even this share of the estimated wait is too long
 
 constexpr double kBadPlanTimes = 3.0;  // an attempt this far past its expected time is taken for a bad plan
-constexpr double kBadPlanEarly = 1.7;  // the same once only a fresh attempt could still meet the aim
+constexpr double kCutTimes = 1.7;      // cut short this far past its expected time, an attempt is news
 constexpr double kBadPlanPace = 4.0;   // ... or whose progress notes foretell this many times the expected
-constexpr double kFreshTimes = 1.2;    // room to the aim, in expected times, that a fresh attempt just fits
 constexpr double kLeastProgress = 0.002;  // a note's share below this tells no more than this
 constexpr TimeUs kBadPlanFloorUs = 300 * kMs;  // below this a late answer is noise
 constexpr double kSharedShare = 0.35;  // more than this share of attempts overdue: the slowdown is shared
 constexpr TimeUs kLateTauUs = 2 * kSecond;  // smoothing of that share
-constexpr int kHeavyAfterTold = 2;     // slow attempts after which a query counts as heavy, cost told
-constexpr int kHeavyAfterUntold = 1;   // ... cost not told: its own weight is likelier
+constexpr int kHeavyAfterTold = 2, kHeavyAfterUntold = 1;  // slow attempts that prove a query itself heavy
 
-constexpr double kErrRate = 0.2;           // weight of a new outcome in the failure share
-constexpr double kErrEject = 0.35;         // failure share, over the fleet's, that takes an engine out
+constexpr double kErrRate = 0.2, kErrEject = 0.35;  // weight of an outcome in the failure share; ejects from
 constexpr TimeUs kSilenceUs = 1200 * kMs;  // no sign of life for this long with overdue work: it hangs
 constexpr TimeUs kEjectUs = 1500 * kMs, kEjectMostUs = 6 * kSecond;  // first rest once ejected; doubles up to
 constexpr int kTrialOks = 3;                   // answers in a row that bring an ejected engine back
 constexpr double kSlowMost = 10;               // bound of an engine's slow factor: what outcomes can prove
 constexpr TimeUs kForgetSlowUs = 8 * kSecond;  // a slow factor without news fades in this time
 
-constexpr double kColdRate = 1.1;     // work a core of an engine takes at capacity, of its time
-constexpr double kColdMargin = 1.3;   // share of the cold budget that is used: clocks and delays differ
+constexpr double kColdRate = 1.1;     // work of a core at capacity: 85% busy, and over a fifth is reading
 constexpr double kColdSigmas = 3.3;   // room for chance where gateways can only take their turns at random
 constexpr double kColdWindow = 1.15;  // the budget's window is kept this much longer, for the same reason
-constexpr double kGrantMargin = 1.1;  // memory granted over the corrected estimate
-constexpr double kEngineMargin = 1.25;  // the same where the engine chooses
+constexpr double kGrantMargin = 1.1, kEngineMargin = 1.25;  // grants over the estimate, ours and engines' own
 constexpr TimeUs kResubscribeUs = 500 * kMs;  // after a failed call to discovery
 constexpr TimeUs kRetryAfterLeastUs = 200 * kMs;
 constexpr uint32_t kHousekeepingToken = 1, kSubscribeToken = 2;
@@ -105,8 +97,6 @@
     return *this;
   }
 
-  // ---- Estimates -----------------------------------------------------------------------------------------
-
   ClassStats& stats(const Query& q) { return stats_[q.req.cls]; }
   const ClassStats& stats(const Query& q) const { return stats_[q.req.cls]; }
 
@@ -146,12 +136,6 @@
     return s_.cold_from + (1 - s_.cold_from) * 0.5 * age / s_.warm_after_us;
   }
 
-  static double own_threads(const Engine& e) {
-    double threads = 0;
-    for (const Query* q : e.running) threads += q->cls->threads;
-    return threads;
-  }
-
   double remaining_work(const Query& q, const Engine& e) {
     const double whole = q.foretold_us > 0 ? q.foretold_us : run_us(q, e);
     const double left = std::max(whole - (now_ - q.sent_at), 0.15 * whole);
@@ -167,12 +151,12 @@
       e.averaged_at = now_;
       if (gap > 0) e.own_avg += (1 - std::exp(-1.0 * gap / kOthersTauUs)) * (e.running.size() - e.own_avg);
       const double windows = 1.0 * std::min(gap, kStallUs) / std::max<TimeUs>(s_.fall_us, 1);
-      if (cold(e)) e.cold_credit += windows * cold_budget(e) / kColdMargin;
+      if (cold(e)) e.cold_credit += windows * cold_budget(e);
       for (const Query* q : e.running) left += remaining_work(*q, e), mb += granted_mb(*q, e);
       n += e.running.size();
-      threads += own_threads(e);
+      threads += e.own_threads();
       if (e.entry.state != EngineState::kReady) continue;
-      own_all_ += own_threads(e);
+      own_all_ += e.own_threads();
       fleet_bound_ += run_bound(e);
       fleet_cores_ += e.cores;
     }
@@ -201,13 +185,13 @@
 
   // The bound binds only under pressure: a busy report or a recent 'full'.
   bool pressed(const Engine& e) const {
-    return own_threads(e) + others(e) * held_threads_ >= kPressedShare * run_bound(e) ||
+    return e.own_threads() + others(e) * held_threads_ >= kPressedShare * run_bound(e) ||
            (e.full_at > 0 && now_ - e.full_at < kSecond);
   }
 
   double free_threads(const Engine& e) const {
     const double room = pressed(e) ? allowance(e) : std::max(allowance(e), run_bound(e));
-    return room - own_threads(e);
+    return room - e.own_threads();
   }
 
   // Where the whole fleet is over its bound, heavy queries wait until this gateway holds less than its part.
@@ -385,29 +369,25 @@
       const auto chosen = next == e.queue.end() ? e.queue.begin() : next;
       if (!fits(**chosen, room)) return;
       Query& q = **chosen;
-      if (!may_send(q, e)) {
-        e.queue.erase(chosen);
-        q.engine = nullptr;
-        hold(q, true);
-        continue;
-      }
       e.queue.erase(chosen);
-      send(q, e);
+      q.engine = nullptr;
+      if (may_send(q, e)) send(q, e);
+      else hold(q, true);
     }
   }
 
   // An engine with room and an empty queue takes over a query that waits for a longer drain elsewhere: plans
   // go stale. What is late stays where it is.
-  void draw_in(Engine& e) {
+  void draw_in(Engine& e, const std::vector<Engine*>& sources) {
     while (e.queue.empty() && e.entry.state == EngineState::kReady) {
       const double room = free_threads(e), own_drain = drain_us(e);
       Query* best = nullptr;
       int together = 0;
       double longest = 0;
-      for (auto& [id, from] : engines_) {
-        const double drain = from.queue.empty() ? 0 : drain_us(from);
+      for (Engine* from : sources) {
+        const double drain = from->queue.empty() ? 0 : drain_us(*from);
         if (drain <= own_drain) continue;
-        for (Query* q : from.queue) {
+        for (Query* q : from->queue) {
           if (!fits(*q, room) || now_ >= aim_at(*q)) continue;
           const int gain = interaction_at(e, *q, 0);
           if (best && (gain < together || (gain == together && drain <= longest))) continue;
@@ -451,7 +431,6 @@
     return s_.grants_heeded ? granted_mb(q, e) : 0;
   }
 
-  // Memory that the query is granted; the engines' own choice is like ours.
   double granted_mb(const Query& q, const Engine& e) const {
     const ClassStats& c = stats(q);
     const double margin = s_.grants_heeded ? kGrantMargin : kEngineMargin;
@@ -536,12 +515,11 @@
     e.slow_at = now_;
   }
 
-  // An attempt that was cut short took at least as long as it was out: news where it was overdue. Else an
-  // engine that jams or slows down more and more is never judged, as answers come only from the others.
-  // Hurts a little where a bad plan was at fault.
+  // An attempt cut short took at least as long as it was out. Else one that jams or ages is never judged,
+  // as answers come only from the others. Hurts a little where a bad plan was at fault.
   void learn_cut(const Query& q, Engine& e, TimeUs took) {
     const double times = took / (run_us(q, e) / slow(e));
-    if (times > std::max(kBadPlanEarly, e.slow) && took > kBadPlanFloorUs)
+    if (times > std::max(kCutTimes, e.slow) && took > kBadPlanFloorUs)
       learn_slow(e, std::min(times, 4.0));
   }
 
@@ -552,18 +530,15 @@
 
   // An attempt far past its expectation: its plan is taken for bad, unless the query is heavy in itself.
   bool overdue(const Query& q, const Engine& e) {
-    const double age = (now_ - q.sent_at), expected = run_us(q, e);
+    const double age = (now_ - q.sent_at), expected = run_us(q, e) / slow(e);
     if (age < kBadPlanFloorUs) return false;
     if (q.foretold_us > 0) return q.foretold_us > kBadPlanPace * expected;
-    if (age > kBadPlanTimes * expected) return true;
-    // Early only where the cost is told, else its own weight is likelier, and attempts aren't rationed.
-    return q.req.cost_us && !s_.attempts_rationed && age > kBadPlanEarly * expected && now_ < aim_at(q) &&
-           aim_at(q) - now_ < kFreshTimes * expected;
+    return age > kBadPlanTimes * expected;
   }
 
   bool worth_another(const Query& q, const Engine& e) {
     const int heavy = q.req.cost_us ? kHeavyAfterTold : kHeavyAfterUntold;
-    const double fresh = run_us(q, e);
+    const double fresh = run_us(q, e) / slow(e);
     return s_.may_cancel && !q.cancelling && !q.streaming && q.slow_seen < heavy &&
            q.attempts < s_.max_attempts && q.cls->repeat == Repeat::kRetryable && within_budget(q) &&
            now_ + fresh < last_use(q);
@@ -621,18 +596,11 @@
       e.errors = std::min(e.errors, kErrEject / 2);
       e.slow = 1;
       act_->log("engine back in service");
-    } else if (bad && (e.ejected_until != 0 || e.errors > kErrEject + (unreachable ? 0 : fleet_errors(e)))) {
+    } else if (bad && (e.ejected_until != 0 || e.errors > kErrEject)) {
       eject(e, unreachable ? "unreachable" : "failures", unreachable);
     }
   }
 
-  double fleet_errors(const Engine& but) const {
-    double sum = 0, n = 0;
-    for (const auto& [id, e] : engines_)
-      if (&e != &but && e.entry.state == EngineState::kReady) sum += e.errors, n += 1;
-    return n > 0 ? sum / n : 0;
-  }
-
   // One look at all attempts that are out. Cancels bad plans and lost answers, none where so many are late
   // that the slowdown must be shared; takes out engines that show no sign of life. One late attempt proves
   // little where a gateway has few on each engine, so it takes an engine out only while few others are late.
@@ -766,15 +734,14 @@
   }
 
   double cold_budget(const Engine& e) const {
-    return kColdMargin * s_.fall_multiple * warmth(e) * e.cores * kColdRate * s_.fall_us /
-           std::max(1, s_.instances);
+    return s_.fall_multiple * warmth(e) * e.cores * kColdRate * s_.fall_us / std::max(1, s_.instances);
   }
 
   // Where an equal part is under one query: in the mean all gateways together send what leaves room for
   // chance, kColdSigmas deviations of a sum of such queries. Credit grows from 0.
   double cold_price(const Query& q, const Engine& e) {
     const double w = stats(q).work_us, half = kColdSigmas * std::sqrt(w) / 2;
-    const double all = cold_budget(e) / kColdMargin * s_.instances;
+    const double all = cold_budget(e) * std::max(1, s_.instances);
     const double mean = std::pow(std::sqrt(half * half + all) - half, 2);
     return 2 * e.cold_draw * w * all / mean;
   }
@@ -908,7 +875,6 @@
       retry_or_conclude(q);
     }
     pump(e);
-    draw_in(e);
     serve_waiting();
   }
 
@@ -920,8 +886,8 @@
     q->foretold_us = static_cast<TimeUs>((now_ - q->sent_at) / std::clamp(note.value, kLeastProgress, 1.0));
   }
 
-  // A deep probe shares the engine with what runs there. Its time against the zone's best tells an engine that
-  // is past its peak, jams or ages, where busy cores look like an idle engine's; none back in time, it hangs.
+  // A deep probe shares the engine with what runs there. Its time against the zone's best tells one past
+  // its peak, jams or ages, where busy cores look like an idle engine's; none back in time, it hangs.
   void on_probe_end(EngineId id, Outcome outcome, TimeUs took, const std::optional<LoadReport>& report) {
     const auto it = engines_.find(id);
     if (it == engines_.end()) return;
@@ -958,9 +924,11 @@
     end_hopeless();
     if (now_ != woke_at_) check_attempts();  // after a stall, what came in the meantime is read first
     for (auto& [id, e] : engines_) pump(e);
-    const auto queued = [](const auto& item) { return !item.second.queue.empty(); };
-    if (std::any_of(engines_.begin(), engines_.end(), queued))
-      for (auto& [id, e] : engines_) draw_in(e);
+    std::vector<Engine*> sources;
+    for (auto& [id, e] : engines_)
+      if (!e.queue.empty()) sources.push_back(&e);
+    for (auto& [id, e] : engines_)
+      if (!sources.empty()) draw_in(e, sources);
     serve_waiting();
   }
 
@@ -971,8 +939,8 @@
       if (q.finished || q.streaming) continue;
       const bool due = now_ + 2 * s_.tick_us + kHousekeepingUs >= q.req.due_us;
       const double run = q.engine ? run_us(q, *q.engine) : 0;
-      // What is out past all worth holds room that others need; its aim is known to an estimate.
-      const bool spent = q.out && s_.may_cancel && may_refuse(q) && now_ != woke_at_ &&
+      // What is out past all worth holds room that others need; without an estimate its aim isn't known.
+      const bool spent = q.out && q.req.cost_us && s_.may_cancel && may_refuse(q) && now_ != woke_at_ &&
                          now_ > q.arrived + kSpent * (last_use(q) - q.arrived);
       if (due || spent || (!q.out && now_ + kReach * run >= last_use(q))) hopeless.push_back(&q);
     }
@@ -996,23 +964,17 @@
   std::map<int, TimeUs> best_probe_;  // shortest time of a probe, by zone
   std::deque<TimeUs> taken_at_, extra_at_;
   double pace_ = kFirstPace;    // time over work divided by threads, all classes
-  double held_threads_ = 1.5;   // of a query that an engine holds
-  double held_work_ = 500'000;  // work left of one, microseconds
-  double held_mb_ = 0;          // memory granted to one
-  double own_typical_ = 0;      // threads of own attempts, smoothed
+  double held_threads_ = 1.5, held_work_ = 500'000, held_mb_ = 0;  // of a query held: work left (us), grant
   double fleet_others_ = 0;     // queries of other gateways a core, mean of the fleet
-  TimeUs fleet_at_ = 0;
   double most_threads_ = 1, late_share_ = 0;  // of a query of any class; of the attempts out, smoothed
-  double own_all_ = 0;          // threads of own attempts that are out
+  double own_all_ = 0, own_typical_ = 0;  // threads of own attempts that are out, now and smoothed
   double fleet_bound_ = 0, fleet_cores_ = 0;  // run bounds and cores of the engines that are ready, together
-  TimeUs started_at_ = 0, woke_at_ = 0;  // woke: end of the last stall of this gateway
+  TimeUs now_ = 0, started_at_ = 0, fleet_at_ = 0, woke_at_ = 0;  // woke: end of this gateway's last stall
   bool engines_known_ = false;
-  TimeUs now_ = 0;
   Actions* act_ = nullptr;
 };
 
-Gateway::Gateway(Settings settings, uint64_t seed)
-    : impl_(std::make_unique<Impl>(std::move(settings), seed)) {}
+Gateway::Gateway(Settings s, uint64_t seed) : impl_(std::make_unique<Impl>(std::move(s), seed)) {}
 Gateway::~Gateway() = default;
 Gateway::Gateway(Gateway&&) noexcept = default;
 Gateway& Gateway::operator=(Gateway&&) noexcept = default;
@@ -1025,15 +987,13 @@
 void Gateway::on_stream_started(TimeUs now, RequestId id, int attempt, Actions& a) {
   impl_->at(now, a).on_stream_started(id, attempt);
 }
-void Gateway::on_attempt_end(TimeUs now, const AttemptEnd& e, Actions& a) {
-  impl_->at(now, a).on_attempt_end(e);
-}
+void Gateway::on_attempt_end(TimeUs t, const AttemptEnd& e, Actions& a) { impl_->at(t, a).on_attempt_end(e); }
 void Gateway::on_progress(TimeUs now, const ProgressNote& n, Actions& a) { impl_->at(now, a).on_progress(n); }
 void Gateway::on_client_left(TimeUs now, RequestId id, Actions& a) { impl_->at(now, a).on_client_left(id); }
 void Gateway::on_timer(TimeUs now, uint32_t token, Actions& a) { impl_->at(now, a).on_timer(token); }
 void Gateway::on_probe_end(TimeUs now, EngineId engine, Outcome outcome, TimeUs took,
-                           const std::optional<LoadReport>& report, Actions& a) {
-  impl_->at(now, a).on_probe_end(engine, outcome, took, report);
+                           const std::optional<LoadReport>& r, Actions& a) {
+  impl_->at(now, a).on_probe_end(engine, outcome, took, r);
 }
 // Peer messages are never asked for: they cost a fee.
 void Gateway::on_peer_message(TimeUs, int, std::string_view, Actions&) {}
--- a/src/state.h
+++ b/src/state.h
@@ -56,6 +56,12 @@
   double cold_credit = 0;  // work that this gateway may send there by chance, grown since the last send
   double cold_draw = 0;    // 0 to 1, drawn anew for each send: gateways take their turns at random
   std::deque<std::pair<TimeUs, double>> cold_sent;  // work sent while cold, by time
+
+  double own_threads() const {
+    double threads = 0;
+    for (const Query* q : running) threads += q->cls->threads;
+    return threads;
+  }
 };
 
 struct ClassStats {
