Let the fleet's mean fade to a typical gateway's load; waiting queries no longer walk all engines

And what a query holds was averaged over 0.2 s, which with one or two queries out swung from 1.5 to 4 threads. Now the mean fades in 3 s to what this gateway holds, taken for typical, and the averages run over 4 s. A test fails without it.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -36,7 +36,8 @@
 constexpr TimeUs kStallUs = 150 * kMs;        // no event for this long: this gateway stood still
 constexpr TimeUs kOthersTauUs = 400 * kMs;    // smoothing of reports; about their age, damps herding
 constexpr TimeUs kReportFadeUs = 3 * kSecond;  // in this a report fades to the fleet's mean
-constexpr TimeUs kTypicalTauUs = 4 * kSecond;  // smoothing of what this gateway itself has out
+constexpr TimeUs kTypicalTauUs = 4 * kSecond;  // smoothing of what this gateway has out: it may be one query
+constexpr double kFewOut = 0.02;              // under this many attempts out, smoothed, they tell nothing
 constexpr TimeUs kFleetTauUs = 1 * kSecond;   // smoothing of the fleet's mean of reports
 constexpr double kLearnRate = 0.05;           // weight of a new outcome in slow averages (class work, grants)
 constexpr double kPaceRate = 0.12, kRareRate = 0.4;  // the same in paces; in slow factors where news is rare
@@ -149,7 +150,7 @@
     for (auto& [id, e] : engines_) {
       const TimeUs gap = now_ - e.averaged_at;
       e.averaged_at = now_;
-      if (gap > 0) e.own_avg += (1 - std::exp(-1.0 * gap / kOthersTauUs)) * (e.running.size() - e.own_avg);
+      e.own_avg += std::min(1.0, 1.0 * gap / kOthersTauUs) * (e.running.size() - e.own_avg);
       const double windows = 1.0 * std::min(gap, kStallUs) / std::max<TimeUs>(s_.fall_us, 1);
       if (cold(e)) e.cold_credit += windows * cold_budget(e);
       for (const Query* q : e.running) left += remaining_work(*q, e), mb += granted_mb(*q, e);
@@ -160,20 +161,29 @@
       fleet_bound_ += run_bound(e);
       fleet_cores_ += e.cores;
     }
-    own_typical_ += (own_all_ - own_typical_) * kHousekeepingUs / kTypicalTauUs;
-    if (n == 0) return;
-    held_threads_ += kLearnRate * (threads / n - held_threads_);
-    held_work_ += kLearnRate * (left / n - held_work_);
-    held_mb_ += (held_mb_ > 0 ? kLearnRate : 1) * (mb / n - held_mb_);
-  }
-
-  // What others hold there: the last report, which fades to the fleet's mean as it ages.
+    const double rate = 1.0 * kHousekeepingUs / kTypicalTauUs;
+    own_n_ += rate * (n - own_n_);
+    own_typical_ += rate * (threads - own_typical_);
+    own_left_ += rate * (left - own_left_);
+    own_mb_ += rate * (mb - own_mb_);
+    if (own_n_ < kFewOut) return;
+    held_threads_ = own_typical_ / own_n_;
+    held_work_ = own_left_ / own_n_;
+    held_mb_ = own_mb_ / own_n_;
+  }
+
+  // What others hold there: the last report, fading to the fleet's mean, as that does to this gateway's own
+  // load, taken for typical. A mean that stayed kept one that sent and so heard nothing from ever sending.
   double others(const Engine& e) const {
-    const double mean = (fleet_at_ ? fleet_others_ * e.cores : typical(e)) * warmth(e);
+    const double mean = fleet_mean() * e.cores * warmth(e);
     return e.heard ? mean + (e.others - mean) * std::exp(-1.0 * (now_ - e.report_at) / kReportFadeUs) : mean;
   }
 
-  // ---- Engine queues and gains ---------------------------------------------------------------------------
+  double fleet_mean() const {
+    const double typical = own_typical_ * (s_.instances - 1) / std::max(fleet_cores_, 1.0) / held_threads_;
+    if (fleet_at_ == 0) return typical;
+    return typical + (fleet_others_ - typical) * std::exp(-1.0 * (now_ - fleet_at_) / kReportFadeUs);
+  }
 
   double run_bound(const Engine& e) const { return e.cores * warmth(e) * kThreadsPerCore; }
 
@@ -197,8 +207,7 @@
   // Where the whole fleet is over its bound, heavy queries wait until this gateway holds less than its part.
   bool fits(const Query& q, double free) const {
     if (free < kFitShare * q.cls->threads) return false;
-    const double heard = fleet_others_ * fleet_cores_ * held_threads_;
-    const double held = own_all_ + (fleet_at_ ? heard : own_typical_ * (s_.instances - 1));
+    const double held = own_all_ + fleet_mean() * fleet_cores_ * held_threads_;
     if (light(q) && s_.memory_short != MemoryShort::kOvercommit) return true;
     const double share = light(q) ? kLightShare : s_.priorities_heeded ? 1 : kUnrankedShare;
     if (held <= share * fleet_bound_) return true;
@@ -274,7 +283,7 @@
   // time, the same zone counting for a little, and to a seeded pick.
   void place(Query& q) {
     q.engine = nullptr;
-    if (now_ < q.probes_until) return hold(q, true);
+    if (now_ < q.probes_until || !has_turn(q)) return hold(q, true);
     std::vector<std::pair<Engine*, Gain>> options;
     bool later = false;
     for (int pass = 0; pass < 2 && options.empty(); ++pass)
@@ -498,8 +507,7 @@
       if (q.req.need_mb > 0) c.memory_ratio += rate * (*end.used_mb / q.req.need_mb - c.memory_ratio);
     }
     c.answers += 1;
-    // Without either, work and pace can't be told apart.
-    if (!known || now_ == woke_at_) return;
+    if (!known || now_ == woke_at_) return;  // without either, work and pace can't be told apart
     const double pace = std::clamp(took * q.cls->threads / told, 0.3, 30.0);
     const double against_fleet = std::clamp(pace / c.pace, 0.25, 4.0);
     learn_slow(e, against_fleet);
@@ -532,8 +540,7 @@
   bool overdue(const Query& q, const Engine& e) {
     const double age = (now_ - q.sent_at), expected = run_us(q, e) / slow(e);
     if (age < kBadPlanFloorUs) return false;
-    if (q.foretold_us > 0) return q.foretold_us > kBadPlanPace * expected;
-    return age > kBadPlanTimes * expected;
+    return q.foretold_us > 0 ? q.foretold_us > kBadPlanPace * expected : age > kBadPlanTimes * expected;
   }
 
   bool worth_another(const Query& q, const Engine& e) {
@@ -651,15 +658,10 @@
     if (usable(r.cpu_share)) held = *r.cpu_share * e.cores * kThreadsPerCore / held_threads_;
     if (usable(r.memory_share) && told) held = std::max(held.value_or(0), *r.memory_share * filled);
     if (!usable(r.waiting)) return held;
-    if (!held) held = *r.waiting > 0 ? filled : std::min(filled, e.own_avg + typical(e));
+    if (!held) held = *r.waiting > 0 ? filled : std::min(filled, e.own_avg + others(e));
     return *held + *r.waiting;
   }
 
-  // Where nothing is reported a gateway takes itself for typical: the others hold what it holds, each.
-  double typical(const Engine& e) const {
-    return own_typical_ * (s_.instances - 1) / std::max(fleet_cores_, 1.0) * e.cores / held_threads_;
-  }
-
   void take_report(Engine& e, const std::optional<LoadReport>& report, double least = 0) {
     const std::optional<double> held = report ? held_by(*report, e) : std::nullopt;
     if (!held && least <= 0) return;
@@ -925,8 +927,9 @@
     if (now_ != woke_at_) check_attempts();  // after a stall, what came in the meantime is read first
     for (auto& [id, e] : engines_) pump(e);
     std::vector<Engine*> sources;
+    const auto movable = [&](const Query* q) { return now_ < aim_at(*q) && fits(*q, q->cls->threads); };
     for (auto& [id, e] : engines_)
-      if (!e.queue.empty()) sources.push_back(&e);
+      if (std::any_of(e.queue.begin(), e.queue.end(), movable)) sources.push_back(&e);
     for (auto& [id, e] : engines_)
       if (!sources.empty()) draw_in(e, sources);
     serve_waiting();
@@ -967,7 +970,7 @@
   double held_threads_ = 1.5, held_work_ = 500'000, held_mb_ = 0;  // of a query held: work left (us), grant
   double fleet_others_ = 0;     // queries of other gateways a core, mean of the fleet
   double most_threads_ = 1, late_share_ = 0;  // of a query of any class; of the attempts out, smoothed
-  double own_all_ = 0, own_typical_ = 0;  // threads of own attempts that are out, now and smoothed
+  double own_all_ = 0, own_typical_ = 0, own_n_ = 0, own_left_ = 0, own_mb_ = 0;  // of own attempts (see use)
   double fleet_bound_ = 0, fleet_cores_ = 0;  // run bounds and cores of the engines that are ready, together
   TimeUs now_ = 0, started_at_ = 0, fleet_at_ = 0, woke_at_ = 0;  // woke: end of this gateway's last stall
   bool engines_known_ = false;
@@ -995,7 +998,6 @@
                            const std::optional<LoadReport>& r, Actions& a) {
   impl_->at(now, a).on_probe_end(engine, outcome, took, r);
 }
-// Peer messages are never asked for: they cost a fee.
-void Gateway::on_peer_message(TimeUs, int, std::string_view, Actions&) {}
+void Gateway::on_peer_message(TimeUs, int, std::string_view, Actions&) {}  // never asked for: they cost a fee
 
 }  // namespace sablelink
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -246,6 +246,26 @@
   EXPECT_EQ(b.sends(1), 2);
 }
 
+TEST(Order, AQueryWithoutItsTurnWaitsAndAnsweredOutOfTurnItFreesTheLine) {
+  Settings s = ordered_settings();
+  s.classes[0].repeat = Repeat::kFragile;
+  s.classes[1].in_order = true;  // all such classes draw upon one set of keys
+  s.turn_gap_us = 0;
+  Bench b(s);
+  b.list({engine(1), engine(2)});
+  b.request(1, 0, 5 * kSecond, -1, -1, 77);
+  b.request(2, 1, 15 * kSecond, -1, -1, 77);
+  b.request(3, 0, 5 * kSecond, -1, -1, 77);
+  b.run_for(100 * kMs);
+  EXPECT_EQ(b.sends(2) + b.sends(3), 0);
+  b.leave(2);
+  b.end(1, Outcome::kError);
+  EXPECT_EQ(b.sends(1), 1) << "fragile: it may have run";
+  EXPECT_EQ(b.count(Action::kFail, 1), 1);
+  EXPECT_EQ(b.sends(3), 1);
+  EXPECT_EQ(b.sends(2), 0);
+}
+
 TEST(Placement, HoldsAtEveryAttemptAndWhenAllAllowedAreGone) {
   Settings s = plain_settings();
   s.classes[0].only_zones = {1};
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -78,5 +78,27 @@
   EXPECT_TRUE(parse_report_fields("").empty());
 }
 
+TEST(Settings, ReadsTenantsAndWhereReportsComeFrom) {
+  const std::string base = "Services.count=1\nServices.0.AimUs=1\nServices.0.DeadlineUs=2\n";
+  const Settings plain = parse_settings(base);
+  EXPECT_TRUE(plain.tenants.empty());
+  EXPECT_TRUE(plain.reports_in_answers && plain.reports_in_probes);
+  const Settings s = parse_settings(base +
+                                    "Tenants.count=2\nTenants.0.AllowancePerS=127.5\nOverShareWorth=0.2\n"
+                                    "Report.Source=on_probe\nFees.Probe=0.01\n");
+  ASSERT_EQ(s.tenants.size(), 2u);
+  EXPECT_DOUBLE_EQ(s.tenants[0].allowance_per_s, 127.5);
+  EXPECT_DOUBLE_EQ(s.tenants[1].allowance_per_s, 0);
+  EXPECT_DOUBLE_EQ(s.over_share_worth, 0.2);
+  EXPECT_DOUBLE_EQ(s.probe_fee, 0.01);
+  EXPECT_FALSE(s.reports_in_answers);
+  EXPECT_TRUE(s.reports_in_probes);
+  EXPECT_FALSE(parse_settings(base + "Report.Source=off\n").reports_in_probes);
+  for (const char* bad : {"Tenants.count=-1\n", "Tenants.count=1\nTenants.0.AllowancePerS=-2\n",
+                          "Report.Source=sometimes\n"}) {
+    EXPECT_THROW(parse_settings(base + bad), SettingsError) << bad;
+  }
+}
+
 }  // namespace
 }  // namespace sablelink
--- a/tests/size_test.cpp
+++ b/tests/size_test.cpp
@@ -135,6 +135,33 @@
   EXPECT_LT(threads_out(MemoryShort::kOvercommit, 3), 10) << "light ones wait, too, where all would slow down";
 }
 
+TEST(Size, AGatewayThatHeardOfAFullFleetSendsAgainThoughItHearsNoMore) {
+  Settings s = plain_settings();
+  s.instances = 8;
+  Bench b(s);
+  b.list(engines(4));
+  for (RequestId id = 1; id <= 40; ++id) {
+    b.request(id, 0, 5 * kSecond, 100'000);
+    b.run_for(50 * kMs);
+    if (b.sends(id) > 0) b.end(id, Outcome::kOk, 100'000, 100);
+  }
+  const auto sent = [&](RequestId from) {
+    int n = 0;
+    for (RequestId id = from; id < from + 6; ++id) {
+      b.request(id, 1, 60 * kSecond, 6'000'000);
+      n += b.sends(id);
+    }
+    return n;
+  };
+  EXPECT_LE(sent(100), 2) << "its part";
+  for (RequestId id = 100; id < 106; ++id) b.leave(id);
+  for (RequestId id = 100; id < 106; ++id) {
+    if (b.sends(id) > 0) b.end(id, Outcome::kCancelled);
+  }
+  b.run_for(15 * kSecond);
+  EXPECT_GE(sent(200), 4) << "the old mean kept it at its part for good";
+}
+
 TEST(Size, OddFleetsAndPeersNeitherCrashNorBreakARule) {
   Settings s = plain_settings();
   s.instances = 5000;
