--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -23,7 +23,7 @@
 constexpr double kThreadsPerCore = 1.85;  // run bound: engines peak between one and two threads a core
 constexpr double kPressedShare = 0.8;     // of the run bound in threads: from here on the bound binds
 constexpr double kUnrankedShare = 0.65;   // of the fleet's bounds: from here heavy queries wait if unranked
-constexpr double kLightShare = 1.3;     // ... and from here light ones where memory is overcommitted
+constexpr double kLightShare = 1.8;     // ... and from here light ones where memory is overcommitted
 constexpr int kProbes = 3;                 // engines asked before a heavy query goes out
 constexpr double kProbeFeeMost = 0.05;     // ... where that costs less than this
 constexpr double kProbeMost = 4;           // run bounds that a late probe stands for at the most
