sablelink up, gateway, node, query: Flight SQL in, stand-in nodes out

GCC 12 destroys temporaries of co_await expressions twice where they are lambdas or parts of a conditional; such awaits now stand alone, with named operands.

--- /dev/null
+++ b/src/cli/commands.h
@@ -0,0 +1,35 @@
+// The subcommands. Each returns the process's exit code; errors of configuration and start are thrown.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "service/runtime.h"
+
+namespace sablelink::cli {
+
+enum ExitCode { kServed = 0, kUsage = 1, kRefused = 3, kFailed = 4 };
+
+struct UpOptions {
+  std::string listen = "127.0.0.1:31337";
+  int nodes = 4;
+};
+int run_up(const UpOptions& options, const service::System& system);
+int run_gateway(const std::string& file, const service::System& system);
+int run_node(const std::string& file, const service::System& system);
+int run_config_check(const std::string& file);
+
+struct QueryOptions {
+  std::string statement;
+  std::string endpoint = "127.0.0.1:31337";
+  double timeout_s = 30;
+  std::vector<std::string> headers;
+  bool json = false;
+  bool update = false;
+};
+int run_query(const QueryOptions& options, const service::System& system);
+
+// The whole of a file. Throws config::ConfigError where it can't be read.
+std::string read_file(const std::string& path);
+
+}  // namespace sablelink::cli
--- /dev/null
+++ b/src/cli/main.cpp
@@ -0,0 +1,65 @@
+// The command line. Everything that the system alone can tell (time, random numbers, arguments, signals) enters
+// here and is passed down.
+#include <CLI/CLI.hpp>
+#include <chrono>
+#include <cstdio>
+#include <exception>
+#include <random>
+
+#include "cli/commands.h"
+
+int main(int argc, char** argv) {
+  using namespace sablelink;  // NOLINT
+  service::System system;
+  system.wall = [] { return std::chrono::system_clock::now(); };
+  system.steady = [] { return std::chrono::steady_clock::now(); };
+  system.random = [device = std::make_shared<std::random_device>()] {
+    return uint64_t{(*device)()} << 32 | (*device)();
+  };
+
+  CLI::App app{"sablelink: admits queries and routes them to analytic engines"};
+  app.require_subcommand(1);
+  app.set_version_flag("--version", "sablelink 0.2.0");
+
+  auto* const up = app.add_subcommand("up", "One gateway with four stand-in nodes, for trying it out");
+  cli::UpOptions up_options;
+  up->add_option("--listen", up_options.listen, "Where Flight SQL is served")->capture_default_str();
+  up->add_option("--nodes", up_options.nodes, "How many stand-in nodes")
+      ->capture_default_str()
+      ->check(CLI::Range(1, 64));
+
+  auto* const gateway = app.add_subcommand("gateway", "A gateway, as its configuration tells");
+  std::string config;
+  gateway->add_option("--config", config, "The configuration")->required();
+
+  auto* const node = app.add_subcommand("node", "A stand-in node, as its configuration tells");
+  node->add_option("--config", config, "The configuration")->required();
+
+  auto* const config_command = app.add_subcommand("config", "Work on configurations");
+  config_command->require_subcommand(1);
+  auto* const check = config_command->add_subcommand("check", "Check a configuration of a gateway or a node");
+  check->add_option("file", config, "The configuration")->required();
+
+  auto* const query = app.add_subcommand("query", "Send a statement and print its answer");
+  cli::QueryOptions query_options;
+  query->add_option("statement", query_options.statement, "SQL")->required();
+  query->add_option("--endpoint", query_options.endpoint, "Where a gateway listens")->capture_default_str();
+  query->add_option("--timeout", query_options.timeout_s, "How long to wait, in seconds")->capture_default_str();
+  query->add_option("--header", query_options.headers, "A header as name=value; may be repeated");
+  query->add_flag("--json", query_options.json, "Rows as JSON lines");
+  query->add_flag("--update", query_options.update, "Run as an update, with a count as answer");
+  query->footer("Exit codes: 0 served, 3 refused (trying again is harmless), 4 failed, 1 wrong usage");
+
+  CLI11_PARSE(app, argc, argv);
+  try {
+    if (*up) return cli::run_up(up_options, system);
+    if (*gateway) return cli::run_gateway(config, system);
+    if (*node) return cli::run_node(config, system);
+    if (*check) return cli::run_config_check(config);
+    if (*query) return cli::run_query(query_options, system);
+  } catch (const std::exception& e) {
+    std::fprintf(stderr, "sablelink: %s\n", e.what());
+    return 1;
+  }
+  return 1;
+}
--- /dev/null
+++ b/src/flightsql/client.cpp
@@ -0,0 +1,159 @@
+#include "flightsql/client.h"
+
+#include <charconv>
+
+#include "flightsql/messages.h"
+#include "flightsql/terms.h"
+
+namespace sablelink::flightsql {
+namespace {
+
+using rpc::Awaitable;
+using rpc::Code;
+
+std::string method(std::string_view name) { return std::string(kServicePrefix) + std::string(name); }
+
+rpc::Status no_connection() { return {Code::kUnavailable, "no connection to the gateway", ""}; }
+
+void read_end(const rpc::CallEnd& end, QueryResult& out) {
+  out.status = end.status;
+  const std::string_view verdict = rpc::find_value(end.trailers, kVerdictKey);
+  if (verdict == "served" || (verdict.empty() && end.status.ok())) out.verdict = carrier::Verdict::kServed;
+  else if (verdict == "refused" || (verdict.empty() && end.status.code == Code::kUnavailable))
+    out.verdict = carrier::Verdict::kRefused;
+  else out.verdict = carrier::Verdict::kFailed;
+  out.reason = rpc::find_value(end.trailers, kReasonKey);
+  const std::string_view attempts = rpc::find_value(end.trailers, kAttemptsKey);
+  std::from_chars(attempts.data(), attempts.data() + attempts.size(), out.attempts);
+  out.retry_after_us = read_details(end.status).retry_after_us;
+}
+
+}  // namespace
+
+Awaitable<Client::Ticket> Client::ask(std::string statement, ClientOptions options) {
+  Ticket out;
+  const bool connected = co_await channel_->connect(options.dial_timeout_us);
+  if (!connected) {
+    out.connected = false;
+    out.status = no_connection();
+    co_return out;
+  }
+  fsql::CommandStatementQuery command;
+  command.set_query(std::move(statement));
+  const auto call = channel_->call(method("GetFlightInfo"), options.headers, options.timeout_us);
+  std::string bytes = descriptor_of(command).SerializeAsString();
+  co_await call->write(std::move(bytes), true);
+  const std::optional<std::string> message = co_await call->read();
+  const rpc::CallEnd end = co_await call->finish();
+  out.status = end.status;
+  flight::FlightInfo info;
+  if (end.status.ok() && (!message || !info.ParseFromString(*message) || info.endpoint_size() == 0))
+    out.status = make_error(Code::kInternal, "the answer to GetFlightInfo has no endpoint");
+  if (out.status.ok()) {
+    out.info = *message;
+    out.ticket = info.endpoint(0).ticket().SerializeAsString();
+  }
+  co_return out;
+}
+
+Awaitable<QueryResult> Client::fetch(std::string ticket, ClientOptions options, OnBatch on_batch) {
+  QueryResult out;
+  out.connected = true;
+  const auto call = channel_->call(method("DoGet"), options.headers, options.timeout_us);
+  co_await call->write(std::move(ticket), true);
+  std::string problem;
+  bool has_schema = false;
+  while (std::optional<std::string> message = co_await call->read()) {
+    flight::FlightData data;
+    if (!problem.empty()) continue;
+    try {
+      if (!data.ParseFromString(*message)) throw arrowipc::FormatError("a message is no FlightData");
+      if (data.data_header().empty()) continue;
+      if (!has_schema) {
+        out.schema = arrowipc::decode_schema(data.data_header());
+        has_schema = true;
+        continue;
+      }
+      arrowipc::Batch batch = arrowipc::decode_batch(out.schema, data.data_header(), data.data_body());
+      out.rows += batch.rows;
+      if (on_batch) on_batch(out.schema, batch);
+      else out.batches.push_back(std::move(batch));
+    } catch (const arrowipc::FormatError& e) {
+      problem = e.what();
+      call->cancel();
+    }
+  }
+  const rpc::CallEnd end = co_await call->finish();
+  read_end(end, out);
+  if (!problem.empty()) {
+    out.verdict = carrier::Verdict::kFailed;
+    out.status = make_error(Code::kInternal, problem);
+  }
+  co_return out;
+}
+
+Awaitable<QueryResult> Client::query(std::string statement, ClientOptions options, OnBatch on_batch) {
+  ClientOptions copy = options;
+  Ticket ticket = co_await ask(std::move(statement), std::move(copy));
+  if (!ticket.status.ok()) {
+    QueryResult out;
+    out.connected = ticket.connected;
+    out.status = ticket.status;
+    // Nothing has run: GetFlightInfo does no work.
+    out.verdict = ticket.status.code == Code::kUnavailable ? carrier::Verdict::kRefused : carrier::Verdict::kFailed;
+    co_return out;
+  }
+  QueryResult result = co_await fetch(std::move(ticket.ticket), std::move(options), std::move(on_batch));
+  co_return result;
+}
+
+Awaitable<QueryResult> Client::update(std::string statement, ClientOptions options) {
+  QueryResult out;
+  const bool connected = co_await channel_->connect(options.dial_timeout_us);
+  if (!connected) {
+    out.status = no_connection();
+    out.verdict = carrier::Verdict::kRefused;
+    co_return out;
+  }
+  out.connected = true;
+  fsql::CommandStatementUpdate command;
+  command.set_query(std::move(statement));
+  flight::FlightData data;
+  *data.mutable_flight_descriptor() = descriptor_of(command);
+  const auto call = channel_->call(method("DoPut"), options.headers, options.timeout_us);
+  std::string bytes = data.SerializeAsString();
+  co_await call->write(std::move(bytes), true);
+  while (const std::optional<std::string> message = co_await call->read()) {
+    flight::PutResult put;
+    fsql::DoPutUpdateResult result;
+    if (put.ParseFromString(*message) && result.ParseFromString(put.app_metadata()))
+      out.updated = result.record_count();
+  }
+  const rpc::CallEnd end = co_await call->finish();
+  read_end(end, out);
+  co_return out;
+}
+
+Awaitable<Client::ActionResult> Client::action(std::string type, std::string body, ClientOptions options) {
+  ActionResult out;
+  const bool connected = co_await channel_->connect(options.dial_timeout_us);
+  if (!connected) {
+    out.status = no_connection();
+    co_return out;
+  }
+  flight::Action action;
+  action.set_type(std::move(type));
+  action.set_body(std::move(body));
+  const auto call = channel_->call(method("DoAction"), options.headers, options.timeout_us);
+  std::string bytes = action.SerializeAsString();
+  co_await call->write(std::move(bytes), true);
+  while (const std::optional<std::string> message = co_await call->read()) {
+    flight::Result result;
+    if (result.ParseFromString(*message)) out.bodies.push_back(result.body());
+  }
+  const rpc::CallEnd end = co_await call->finish();
+  out.status = end.status;
+  co_return out;
+}
+
+}  // namespace sablelink::flightsql
--- /dev/null
+++ b/src/flightsql/client.h
@@ -0,0 +1,67 @@
+// A Flight SQL client for the project's own use: the command line, the bad day, tests and benchmarks.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "arrowipc/array.h"
+#include "carrier/ports.h"
+#include "rpc/rpc.h"
+
+namespace sablelink::flightsql {
+
+struct ClientOptions {
+  TimeUs timeout_us = 0;  // the client's patience; 0: none
+  rpc::Metadata headers;
+  TimeUs dial_timeout_us = 2'000'000;
+};
+
+struct QueryResult {
+  bool connected = false;
+  rpc::Status status;
+  // As the gateway's trailers tell; where it sent none, from the status: UNAVAILABLE is a refusal.
+  carrier::Verdict verdict = carrier::Verdict::kFailed;
+  std::string reason;
+  int attempts = 0;
+  std::optional<TimeUs> retry_after_us;
+  arrowipc::Schema schema;
+  std::vector<arrowipc::Batch> batches;
+  int64_t rows = 0;
+  int64_t updated = 0;  // of updates
+};
+
+// One connection. Used on one strand; calls may overlap.
+class Client {
+ public:
+  explicit Client(std::unique_ptr<rpc::Channel> channel) : channel_(std::move(channel)) {}
+
+  // Asks for a ticket and takes its answer. Batches are handed to on_batch where given, else kept.
+  using OnBatch = std::function<void(const arrowipc::Schema&, const arrowipc::Batch&)>;
+  rpc::Awaitable<QueryResult> query(std::string statement, ClientOptions options, OnBatch on_batch = nullptr);
+  rpc::Awaitable<QueryResult> update(std::string statement, ClientOptions options);
+
+  // The ticket alone (status tells where there is none), and the answer to a ticket alone.
+  struct Ticket {
+    rpc::Status status;
+    std::string info;    // the FlightInfo as it came
+    std::string ticket;  // bytes for fetch()
+    bool connected = true;
+  };
+  rpc::Awaitable<Ticket> ask(std::string statement, ClientOptions options);
+  rpc::Awaitable<QueryResult> fetch(std::string ticket, ClientOptions options, OnBatch on_batch = nullptr);
+  // One action; the bodies of its results.
+  struct ActionResult {
+    rpc::Status status;
+    std::vector<std::string> bodies;
+  };
+  rpc::Awaitable<ActionResult> action(std::string type, std::string body, ClientOptions options);
+
+  rpc::Channel& channel() { return *channel_; }
+
+ private:
+  std::unique_ptr<rpc::Channel> channel_;
+};
+
+}  // namespace sablelink::flightsql
--- a/src/flightsql/front.cpp
+++ b/src/flightsql/front.cpp
@@ -168,7 +168,8 @@
   flight::HandshakeResponse response;
   response.set_protocol_version(request.protocol_version());
   response.set_payload(request.payload());
-  co_await reply(call, response.SerializeAsString());
+  std::string bytes = response.SerializeAsString();
+  co_await reply(call, std::move(bytes));
 }
 
 std::string Front::checked_statement(std::string text) const {
@@ -235,7 +236,8 @@
     handle.set_statement_handle(tickets_.issue(statement_of(any)));
     ticket.set_ticket(pack(handle));
   }
-  co_await reply(call, info.SerializeAsString());
+  std::string bytes = info.SerializeAsString();
+  co_await reply(call, std::move(bytes));
 }
 
 Awaitable<void> Front::do_get(CallPtr call) {
@@ -243,8 +245,11 @@
   if (!message) wrong("a Ticket was expected");
   const auto any = parse_any(parse<flight::Ticket>(*message, "the request").ticket(), "the ticket");
   if (const auto table = metadata_table(any, selectors_.tables)) {
-    if (co_await call->write(flight_data(arrowipc::encode_schema(table->schema))))
-      co_await reply(call, flight_data(arrowipc::encode_batch(table->schema, table->batch)));
+    std::string bytes = flight_data(arrowipc::encode_schema(table->schema));
+    const bool written = co_await call->write(std::move(bytes));
+    if (!written) co_return;
+    bytes = flight_data(arrowipc::encode_batch(table->schema, table->batch));
+    co_await reply(call, std::move(bytes));
     co_return;
   }
   if (!any.Is<fsql::TicketStatementQuery>())
@@ -262,7 +267,8 @@
 Awaitable<void> Front::finish(CallPtr call, Ran ran) {
   if (ran.gone) co_return;
   if (ran.cancelled) {
-    co_await fail(call, Code::kCancelled, "cancelled by the client's own request");
+    std::string what = "cancelled by the client's own request";
+    co_await fail(call, Code::kCancelled, std::move(what));
     co_return;
   }
   ClientEnd end = map_final_answer(ran.answer);
@@ -325,7 +331,8 @@
         carrier_.consumed(reply->id, size);
         continue;
       }
-      if (!co_await call->write(std::move(message))) {
+      const bool written = co_await call->write(std::move(message));
+      if (!written) {
         carrier_.client_left(reply->id);
         reply->abort(false);
         break;
@@ -413,7 +420,8 @@
   result.set_prepared_statement_handle(handle);
   flight::PutResult put;
   put.set_app_metadata(result.SerializeAsString());
-  co_await reply(call, put.SerializeAsString());
+  std::string bytes = put.SerializeAsString();
+  co_await reply(call, std::move(bytes));
 }
 
 Awaitable<void> Front::update_prepared(CallPtr call, const std::string& handle, std::string first) {
@@ -496,7 +504,8 @@
   } else {
     throw CallError(Code::kUnimplemented, "action " + action.type() + " is not served");
   }
-  co_await reply(call, result.SerializeAsString());
+  std::string bytes = result.SerializeAsString();
+  co_await reply(call, std::move(bytes));
 }
 
 // Cancels whatever runs on the info's tickets. The two actions' results have the same numbers.
--- a/src/flightsql/node_client.cpp
+++ b/src/flightsql/node_client.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <exception>
 #include <utility>
 
 #include "base/signal.h"
@@ -17,6 +18,7 @@
 using carrier::AttemptResult;
 using rpc::Awaitable;
 
+constexpr TimeUs kProbeMostUs = 10'000'000;  // the carrier gives a probe up before
 constexpr size_t kNoteBytes = 256;  // a longer message holds data
 
 std::string method(std::string_view name) { return std::string(kServicePrefix) + std::string(name); }
@@ -80,21 +82,36 @@
   return m;
 }
 
+template <typename Coroutine>
+void NodeClient::spawn(Coroutine coroutine) {
+  ++busy_;
+  boost::asio::co_spawn(executor_, std::move(coroutine), [this](const std::exception_ptr& error) {
+    --busy_;
+    if (error) std::rethrow_exception(error);
+  });
+}
+
 void NodeClient::start(AttemptKey key, EngineId engine, const AttemptOrder& order) {
   const auto task = std::make_shared<Task>();
   task->key = key;
   running_[number_of(key)] = task;
-  boost::asio::co_spawn(executor_, run(task, engine, order), boost::asio::detached);
+  spawn(run(task, engine, order));
 }
 
 Awaitable<void> NodeClient::run(std::shared_ptr<Task> task, EngineId engine, AttemptOrder order) {
   AttemptResult result;
   const std::shared_ptr<rpc::Channel> to = channel(engine);
-  if (!to || !co_await to->connect(options_.dial_timeout_us)) {
+  bool connected = false;
+  if (to) connected = co_await to->connect(options_.dial_timeout_us);
+  if (!connected) {
     result.outcome = Outcome::kConnectFailed;
     result.error = {static_cast<int>(rpc::Code::kUnavailable), "no connection to the node"};
-  } else if (!task->dropped) {
-    result = order.statement->update ? co_await update(task, to, order) : co_await query(task, to, order);
+  } else if (task->dropped) {
+    co_return;
+  } else if (order.statement->update) {
+    result = co_await update(task, to, order);
+  } else {
+    result = co_await query(task, to, order);
   }
   task->call = nullptr;
   if (task->dropped) co_return;
@@ -113,8 +130,9 @@
     if (!carrier_->attempt_message(task->key, std::move(*message))) task->paused = true;
     while (task->paused && !task->dropped) co_await task->resumed.wait();
   }
-  if (task->dropped) co_return rpc::CallEnd{};
-  co_return co_await call->finish();
+  rpc::CallEnd end;
+  if (!task->dropped) end = co_await call->finish();
+  co_return end;
 }
 
 Awaitable<AttemptResult> NodeClient::query(std::shared_ptr<Task> task, std::shared_ptr<rpc::Channel> to,
@@ -124,19 +142,29 @@
   command.set_query(order.statement->text);
   std::shared_ptr<rpc::ClientCall> call = to->call(method("GetFlightInfo"), terms, 0);
   task->call = call;
-  co_await call->write(descriptor_of(command).SerializeAsString(), true);
+  std::string bytes = descriptor_of(command).SerializeAsString();
+  co_await call->write(std::move(bytes), true);
   std::optional<std::string> message = co_await call->read();
-  if (task->dropped) co_return AttemptResult{};
+  AttemptResult result;
+  if (task->dropped) co_return result;
   const rpc::CallEnd planned = co_await call->finish();
-  if (!planned.status.ok() || task->dropped) co_return map_call_end(planned);
+  if (!planned.status.ok() || task->dropped) {
+    result = map_call_end(planned);
+    co_return result;
+  }
   flight::FlightInfo info;
-  if (!message || !info.ParseFromString(*message) || info.endpoint_size() != 1)
-    co_return broken(rpc::Code::kInternal, "the node's FlightInfo is no answer with one endpoint");
+  if (!message || !info.ParseFromString(*message) || info.endpoint_size() != 1) {
+    result = broken(rpc::Code::kInternal, "the node's FlightInfo is no answer with one endpoint");
+    co_return result;
+  }
 
   call = to->call(method("DoGet"), terms, 0);
   task->call = call;
-  co_await call->write(info.endpoint(0).ticket().SerializeAsString(), true);
-  co_return map_call_end(co_await relay(task));
+  bytes = info.endpoint(0).ticket().SerializeAsString();
+  co_await call->write(std::move(bytes), true);
+  const rpc::CallEnd end = co_await relay(task);
+  result = map_call_end(end);
+  co_return result;
 }
 
 Awaitable<AttemptResult> NodeClient::update(std::shared_ptr<Task> task, std::shared_ptr<rpc::Channel> to,
@@ -147,8 +175,11 @@
   *data.mutable_flight_descriptor() = descriptor_of(command);
   const std::shared_ptr<rpc::ClientCall> call = to->call(method("DoPut"), metadata(task->key, order), 0);
   task->call = call;
-  co_await call->write(data.SerializeAsString(), true);
-  co_return map_call_end(co_await relay(task));
+  std::string bytes = data.SerializeAsString();
+  co_await call->write(std::move(bytes), true);
+  const rpc::CallEnd end = co_await relay(task);
+  AttemptResult result = map_call_end(end);
+  co_return result;
 }
 
 void NodeClient::drop(AttemptKey key) {
@@ -173,25 +204,30 @@
   it->second->resumed.give();
 }
 
+void NodeClient::drop_all() {
+  while (!running_.empty()) drop(running_.begin()->second->key);
+}
+
+void NodeClient::probe(uint32_t probe, EngineId engine) { spawn(ask(probe, engine)); }
+
 // A question that any Flight SQL server can answer, and that costs it little.
-void NodeClient::probe(uint32_t probe, EngineId engine) {
-  boost::asio::co_spawn(
-      executor_,
-      [](NodeClient* self, uint32_t id, EngineId to) -> Awaitable<void> {
-        const std::shared_ptr<rpc::Channel> channel = self->channel(to);
-        if (!channel || !co_await channel->connect(self->options_.dial_timeout_us)) {
-          self->carrier_->probe_ended(id, Outcome::kConnectFailed, std::nullopt);
-          co_return;
-        }
-        const std::shared_ptr<rpc::ClientCall> call = channel->call(method("GetFlightInfo"), {}, 0);
-        co_await call->write(descriptor_of(fsql::CommandGetSqlInfo()).SerializeAsString(), true);
-        co_await call->read();
-        const AttemptResult result = map_call_end(co_await call->finish());
-        // A server that doesn't know the question is alive.
-        const Outcome outcome = result.statement_fault ? Outcome::kOk : result.outcome;
-        self->carrier_->probe_ended(id, outcome, result.report);
-      }(this, probe, engine),
-      boost::asio::detached);
+Awaitable<void> NodeClient::ask(uint32_t probe, EngineId engine) {
+  const std::shared_ptr<rpc::Channel> to = channel(engine);
+  bool connected = false;
+  if (to) connected = co_await to->connect(options_.dial_timeout_us);
+  if (!connected) {
+    carrier_->probe_ended(probe, Outcome::kConnectFailed, std::nullopt);
+    co_return;
+  }
+  const std::shared_ptr<rpc::ClientCall> call = to->call(method("GetFlightInfo"), {}, kProbeMostUs);
+  std::string question = descriptor_of(fsql::CommandGetSqlInfo()).SerializeAsString();
+  co_await call->write(std::move(question), true);
+  co_await call->read();
+  const rpc::CallEnd end = co_await call->finish();
+  const AttemptResult result = map_call_end(end);
+  // A server that doesn't know the question is alive.
+  const Outcome outcome = result.statement_fault ? Outcome::kOk : result.outcome;
+  carrier_->probe_ended(probe, outcome, result.report);
 }
 
 // Channels close once the last call on them has ended; the next attempt dials anew.
--- a/src/flightsql/node_client.h
+++ b/src/flightsql/node_client.h
@@ -41,7 +41,10 @@
   void probe(uint32_t probe, EngineId engine) override;
   void close_idle(EngineId engine) override;
 
-  size_t running() const { return running_.size(); }
+  // Drops every attempt.
+  void drop_all();
+  // Coroutines that haven't ended, those of dropped attempts among them. At 0 this object may go.
+  size_t busy() const { return busy_; }
 
  private:
   struct Task;
@@ -54,6 +57,9 @@
 
   std::shared_ptr<rpc::Channel> channel(EngineId engine);
   rpc::Awaitable<void> run(std::shared_ptr<Task> task, EngineId engine, carrier::AttemptOrder order);
+  rpc::Awaitable<void> ask(uint32_t probe, EngineId engine);
+  template <typename Coroutine>
+  void spawn(Coroutine coroutine);
   rpc::Awaitable<carrier::AttemptResult> query(std::shared_ptr<Task> task, std::shared_ptr<rpc::Channel> channel,
                                                const carrier::AttemptOrder& order);
   rpc::Awaitable<carrier::AttemptResult> update(std::shared_ptr<Task> task, std::shared_ptr<rpc::Channel> channel,
@@ -69,6 +75,7 @@
   carrier::Carrier* carrier_ = nullptr;
   std::unordered_map<EngineId, Node> nodes_;
   std::unordered_map<uint64_t, std::shared_ptr<Task>> running_;
+  size_t busy_ = 0;
 };
 
 }  // namespace sablelink::flightsql
--- a/src/nodes/stand_in.cpp
+++ b/src/nodes/stand_in.cpp
@@ -269,10 +269,7 @@
     for (const wire::ProgressNote& note : std::exchange(job->notes, {})) {
       flight::FlightData data;
       data.set_app_metadata(note.SerializeAsString());
-      if (job->update) {
-        flight::PutResult put;
-        continue;  // a DoPut's stream has no room for notes
-      }
+      if (job->update) continue;  // a DoPut's stream has no room for notes
       std::string bytes = data.SerializeAsString();
       co_await job->call->write(std::move(bytes));
     }
@@ -361,7 +358,8 @@
         record(*job, NodeEvent::Kind::kEnded, NodeEvent::End::kBroken);
         co_return;  // the call is left unfinished, and so broken off
       }
-      if (co_await work(job)) {
+      const bool worked = co_await work(job);
+      if (worked) {
         if (engine_.fallen() || mishap == Mishap::kLostAnswer) {
           hung = true;
         } else if (mishap == Mishap::kError) {
@@ -373,9 +371,13 @@
           flight::PutResult put;
           put.set_app_metadata(result.SerializeAsString());
           last = put.SerializeAsString();
-        } else if (!co_await send_rows(call, job->hint, mishap == Mishap::kBreakStream)) {
-          record(*job, NodeEvent::Kind::kEnded, job->cancelled ? NodeEvent::End::kCancelled : NodeEvent::End::kBroken);
-          co_return;
+        } else {
+          const bool sent = co_await send_rows(call, job->hint, mishap == Mishap::kBreakStream);
+          if (!sent) {
+            record(*job, NodeEvent::Kind::kEnded,
+                   job->cancelled ? NodeEvent::End::kCancelled : NodeEvent::End::kBroken);
+            co_return;
+          }
         }
       }
     }
@@ -389,16 +391,15 @@
 Awaitable<bool> StandIn::send_rows(CallPtr call, const StatementHint& hint, bool break_off) {
   const arrowipc::Schema schema = row_schema();
   std::string bytes = flight_data(arrowipc::encode_schema(schema));
-  if (!co_await call->write(std::move(bytes))) co_return false;
+  bool written = co_await call->write(std::move(bytes));
   int64_t sent = 0;
   do {
     const int64_t count = std::min(kBatchRows, hint.rows - sent);
     bytes = flight_data(arrowipc::encode_batch(schema, rows_from(schema, sent, count, hint.row_bytes)));
-    if (!co_await call->write(std::move(bytes))) co_return false;
+    if (written) written = co_await call->write(std::move(bytes));
     sent += count;
-    if (break_off) co_return false;
-  } while (sent < hint.rows);
-  co_return true;
+  } while (written && !break_off && sent < hint.rows);
+  co_return written && !break_off;
 }
 
 }  // namespace sablelink::nodes
--- a/src/rpc/grpc_client.cpp
+++ b/src/rpc/grpc_client.cpp
@@ -27,7 +27,7 @@
 
   Awaitable<bool> write(std::string message, bool last) override {
     const grpc::ByteBuffer buffer = give_bytes(std::move(message));
-    co_return co_await await_tag(state_, [state = state_.get(), buffer, last](void* tag) {
+    return await_tag(state_, [state = state_.get(), buffer, last](void* tag) {
       if (last) state->stream->WriteLast(buffer, grpc::WriteOptions(), tag);
       else state->stream->Write(buffer, tag);
     });
@@ -35,9 +35,8 @@
 
   Awaitable<std::optional<std::string>> read() override {
     const auto buffer = std::make_shared<grpc::ByteBuffer>();
-    const bool ok = co_await await_tag(state_, [state = state_.get(), buffer](void* tag) {
-      state->stream->Read(buffer.get(), tag);
-    });
+    auto start = [state = state_.get(), buffer](void* tag) { state->stream->Read(buffer.get(), tag); };
+    const bool ok = co_await await_tag(state_, std::move(start));
     if (!ok) co_return std::nullopt;
     co_return take_bytes(*buffer);
   }
@@ -45,9 +44,8 @@
   Awaitable<CallEnd> finish() override {
     const std::shared_ptr<CallState> state = state_;
     const auto status = std::make_shared<grpc::Status>();
-    co_await await_tag(state, [state = state.get(), status](void* tag) {
-      state->stream->Finish(status.get(), tag);
-    });
+    auto start = [raw = state.get(), status](void* tag) { raw->stream->Finish(status.get(), tag); };
+    co_await await_tag(state, std::move(start));
     state->finished = true;
     CallEnd end;
     end.status.code = static_cast<Code>(status->error_code());
@@ -74,9 +72,10 @@
     grpc_connectivity_state state = channel->GetState(true);
     while (state != GRPC_CHANNEL_READY) {
       if (state == GRPC_CHANNEL_TRANSIENT_FAILURE || state == GRPC_CHANNEL_SHUTDOWN) co_return false;
-      const bool changed = co_await await_tag(channel, [&](void* tag) {
-        channel->NotifyOnStateChange(state, deadline, queue_, tag);
-      });
+      auto start = [raw = channel.get(), state, deadline, queue = queue_](void* tag) {
+        raw->NotifyOnStateChange(state, deadline, queue, tag);
+      };
+      const bool changed = co_await await_tag(channel, std::move(start));
       if (!changed) co_return false;
       state = channel->GetState(true);
     }
--- a/src/rpc/grpc_server.cpp
+++ b/src/rpc/grpc_server.cpp
@@ -24,15 +24,16 @@
   Awaitable<std::optional<std::string>> read() override {
     const auto buffer = std::make_shared<grpc::ByteBuffer>();
     const auto self = shared_from_this();
-    if (!co_await await_tag(self, [self, buffer](void* tag) { self->stream.Read(buffer.get(), tag); }))
-      co_return std::nullopt;
+    auto start = [self, buffer](void* tag) { self->stream.Read(buffer.get(), tag); };
+    const bool ok = co_await await_tag(self, std::move(start));
+    if (!ok) co_return std::nullopt;
     co_return take_bytes(*buffer);
   }
 
   Awaitable<bool> write(std::string message) override {
     const auto self = shared_from_this();
     const grpc::ByteBuffer buffer = give_bytes(std::move(message));
-    co_return co_await await_tag(self, [self, buffer](void* tag) { self->stream.Write(buffer, tag); });
+    return await_tag(self, [self, buffer](void* tag) { self->stream.Write(buffer, tag); });
   }
 
   Awaitable<bool> finish(Status status, Metadata trailers, std::optional<std::string> last) override {
@@ -41,10 +42,10 @@
     const grpc::Status end(static_cast<grpc::StatusCode>(status.code), status.message, status.details);
     const auto self = shared_from_this();
     if (!last) {
-      co_return co_await await_tag(self, [self, end](void* tag) { self->stream.Finish(end, tag); });
+      return await_tag(self, [self, end](void* tag) { self->stream.Finish(end, tag); });
     }
     const grpc::ByteBuffer buffer = give_bytes(std::move(*last));
-    co_return co_await await_tag(self, [self, end, buffer](void* tag) {
+    return await_tag(self, [self, end, buffer](void* tag) {
       self->stream.WriteAndFinish(buffer, grpc::WriteOptions(), end, tag);
     });
   }
@@ -122,15 +123,18 @@
 void GrpcServer::shutdown(TimeUs grace) {
   if (!thread_) return;
   server_->Shutdown(wall_() + std::chrono::microseconds(grace));
+  {  // a handler that still runs may start an operation, which a queue that is shut down doesn't bear
+    std::unique_lock lock(mutex_);
+    ended_.wait(lock, [this] { return running_ == 0; });
+  }
   thread_.reset();
 }
 
 void GrpcServer::accept() {
   auto call = std::make_shared<Call>();
-  // Held by this tag until the call is over; one that never arrives gets no such tag, and so leaks nothing
-  // only because the first tag holds the call as well.
+  // Both tags hold the call: the first until it has arrived, the second until it is over.
   auto* const raw = call.get();
-  auto arrived = [this, call](bool ok) { taken(call, ok); };
+  auto arrived = [this, call] { taken(call); };
   auto over = [call](bool) { call->done(); };
   auto* over_tag = new PostTag<decltype(over)>(strand_, std::move(over));
   raw->context.AsyncNotifyWhenDone(over_tag);
@@ -141,8 +145,9 @@
         : server_(server), fn_(std::move(fn)), over_tag_(over_tag) {}
     void complete(bool ok) override {
       if (ok) {
+        server_->count(1);
         server_->accept();
-        asio::post(server_->strand_, [fn = std::move(fn_)] { fn(true); });
+        asio::post(server_->strand_, std::move(fn_));
       } else {
         delete over_tag_;  // gRPC doesn't return it where the call never started
       }
@@ -158,13 +163,20 @@
                        new ArrivalTag(this, std::move(arrived), over_tag));
 }
 
-void GrpcServer::taken(std::shared_ptr<Call> call, bool) {
+void GrpcServer::count(int by) {
+  const std::lock_guard lock(mutex_);
+  running_ += by;
+  if (running_ == 0) ended_.notify_all();
+}
+
+void GrpcServer::taken(std::shared_ptr<Call> call) {
   call->arrived(wall_);
   asio::co_spawn(
       strand_,
       [](GrpcServer* server, std::shared_ptr<Call> c) -> Awaitable<void> {
         co_await server->handler_(c);
         c->break_off();
+        server->count(-1);
       }(this, std::move(call)),
       asio::detached);
 }
--- a/src/rpc/grpc_server.h
+++ b/src/rpc/grpc_server.h
@@ -5,7 +5,9 @@
 #include <grpcpp/server.h>
 
 #include <boost/asio/any_io_executor.hpp>
+#include <condition_variable>
 #include <memory>
+#include <mutex>
 #include <stdexcept>
 #include <string>
 
@@ -36,14 +38,15 @@
   GrpcServer& operator=(const GrpcServer&) = delete;
 
   int port() const { return port_; }
-  // Takes no further calls, waits for those that are out and breaks them off after the grace. Blocks; not to
-  // be called on the strand.
+  // Takes no further calls, waits for those that are out and breaks them off after the grace; a handler whose
+  // call is cancelled must end. Blocks; not to be called on the strand.
   void shutdown(TimeUs grace);
 
  private:
   class Call;
   void accept();
-  void taken(std::shared_ptr<Call> call, bool ok);
+  void taken(std::shared_ptr<Call> call);
+  void count(int by);
 
   boost::asio::any_io_executor strand_;
   ServerHandler handler_;
@@ -53,6 +56,9 @@
   std::unique_ptr<grpc::Server> server_;
   grpc::ServerCompletionQueue* queue_ = nullptr;
   std::unique_ptr<QueueThread> thread_;
+  std::mutex mutex_;
+  std::condition_variable ended_;
+  size_t running_ = 0;  // handlers that haven't ended; guarded by mutex_
 };
 
 }  // namespace sablelink::rpc
--- a/src/rpc/grpc_tags.h
+++ b/src/rpc/grpc_tags.h
@@ -49,7 +49,9 @@
   Fn fn_;
 };
 
-// Starts an operation with a tag and waits for its completion. keep stays alive until then.
+// Starts an operation with a tag and waits for its completion. keep stays alive until then. Not a coroutine
+// itself, and callers that are give start a name first: GCC 12 destroys a lambda that is a temporary of a
+// co_await expression twice.
 template <typename Start>
 Awaitable<bool> await_tag(std::shared_ptr<void> keep, Start start) {
   return boost::asio::async_initiate<const boost::asio::use_awaitable_t<>, void(bool)>(
--- /dev/null
+++ b/src/service/gateway_service.cpp
@@ -0,0 +1,126 @@
+#include "service/gateway_service.h"
+
+#include <boost/asio/post.hpp>
+#include <future>
+#include <utility>
+
+namespace sablelink::service {
+namespace asio = boost::asio;
+
+// The list of nodes is the configuration's for now. Subscribing or fetching is answered with the whole list.
+class GatewayService::Lists : public carrier::ListSource {
+ public:
+  explicit Lists(GatewayService& service) : service_(service) {}
+  void subscribe(bool on) override {
+    if (on) fetch();
+  }
+  void fetch() override {
+    asio::post(service_.strand_, [this] {
+      service_.carrier_->set_list(ListForm::kFull, service_.directory_.entries());
+    });
+  }
+
+ private:
+  GatewayService& service_;
+};
+
+namespace {
+
+rpc::GrpcClientOptions client_options(const config::FrontLimits& limits) {
+  rpc::GrpcClientOptions options;
+  options.max_message_bytes = static_cast<int>(limits.message_bytes);
+  return options;
+}
+
+std::string hex(uint64_t value) {
+  char text[17];
+  std::snprintf(text, sizeof(text), "%016llx", static_cast<unsigned long long>(value));
+  return text;
+}
+
+}  // namespace
+
+GatewayService::GatewayService(config::GatewayConfig config, const System& system, Threads& threads)
+    : config_(std::move(config)),
+      strand_(threads.strand()),
+      log_(make_json_log("gateway", config_.log_level)),
+      clock_(system, strand_),
+      channels_(client_options(config_.front), system.wall),
+      nodes_({config_.name + "/" + hex(system.random()), config_.front.dial_timeout_us,
+              config_.front.node_connections},
+             strand_, channels_, [this](EngineId id) { return directory_.address(id); }),
+      lists_(std::make_unique<Lists>(*this)) {
+  const flightsql::FrontSeeds seeds{system.random(), system.random(), system.random()};
+  carrier_ = std::make_unique<carrier::Carrier>(config_.settings, system.random(), config_.carrier, clock_, nodes_,
+                                                *lists_, *log_);
+  nodes_.set_carrier(carrier_.get());
+  front_ = std::make_unique<flightsql::Front>(config_, seeds, *carrier_, clock_, *log_);
+  on_strand([this] {
+    directory_.replace(config_.nodes);
+    carrier_->start();
+    carrier_->set_list(ListForm::kCached, directory_.entries());
+  });
+  rpc::GrpcServerOptions options;
+  options.address = config_.listen;
+  options.max_message_bytes = static_cast<int>(config_.front.message_bytes);
+  server_ = std::make_unique<rpc::GrpcServer>(
+      options, strand_, [this](std::shared_ptr<rpc::ServerCall> call) { return front_->handle(std::move(call)); },
+      system.wall);
+  log_->info("started", {{"name", config_.name},
+                         {"listen", config_.listen},
+                         {"port", std::to_string(server_->port())},
+                         {"nodes", std::to_string(config_.nodes.size())}});
+}
+
+// All that runs on the strand must have ended before what it uses goes.
+GatewayService::~GatewayService() {
+  if (server_) server_->shutdown(0);
+  for (bool quiet = false; !quiet;) {
+    on_strand([&] {
+      nodes_.drop_all();
+      quiet = nodes_.busy() == 0;
+    });
+    if (!quiet) std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  on_strand([this] {
+    front_.reset();
+    carrier_.reset();
+  });
+}
+
+void GatewayService::on_strand(const std::function<void()>& fn) {
+  std::promise<void> done;
+  asio::post(strand_, [&] {
+    fn();
+    done.set_value();
+  });
+  done.get_future().wait();
+}
+
+void GatewayService::reload(const config::GatewayConfig& config) {
+  asio::post(strand_, [this, nodes = config.nodes, selectors = config.selectors]() mutable {
+    front_->set_selectors(std::move(selectors));
+    directory_.replace(nodes);
+    carrier_->set_list(ListForm::kFull, directory_.entries());
+    log_->info("list_taken", {{"nodes", std::to_string(nodes.size())}});
+  });
+}
+
+void GatewayService::stop(TimeUs grace) {
+  const auto idle = std::make_shared<std::promise<void>>();
+  std::future<void> ended = idle->get_future();
+  asio::post(strand_, [this, idle] {
+    log_->info("stopping", {{"open", std::to_string(carrier_->open())}});
+    carrier_->stop([idle] { idle->set_value(); });
+  });
+  const bool all = ended.wait_for(std::chrono::microseconds(grace)) == std::future_status::ready;
+  constexpr TimeUs kFlushUs = 500'000;  // for answers that are still on their way out
+  server_->shutdown(all ? kFlushUs : 0);
+  log_->info("stopped", {{"all_ended", all ? "true" : "false"}});
+}
+
+void GatewayService::inspect(const std::function<void(const carrier::Carrier&, const flightsql::Front&)>& fn) {
+  on_strand([&] { fn(*carrier_, *front_); });
+}
+
+}  // namespace sablelink::service
--- /dev/null
+++ b/src/service/gateway_service.h
@@ -0,0 +1,53 @@
+// One gateway as a process runs it: its parts put together on one strand, with their start, reload and end.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "carrier/carrier.h"
+#include "config/gateway_config.h"
+#include "flightsql/front.h"
+#include "flightsql/node_client.h"
+#include "membership/directory.h"
+#include "rpc/grpc_client.h"
+#include "rpc/grpc_server.h"
+#include "service/runtime.h"
+
+namespace sablelink::service {
+
+// Made, reloaded and stopped from outside its strand. The threads must run until it is destroyed.
+class GatewayService {
+ public:
+  // Listens and serves at once. Throws rpc::ListenError.
+  GatewayService(config::GatewayConfig config, const System& system, Threads& threads);
+  ~GatewayService();  // breaks off whatever is left
+
+  int port() const { return server_->port(); }
+  // Takes the nodes, selectors and tables of a new configuration over; other changes need a restart. The old
+  // nodes stay in force until then.
+  void reload(const config::GatewayConfig& config);
+  // Refuses new requests, waits for those that are held, at most for the grace, then ends the service. Blocks.
+  void stop(TimeUs grace);
+  // Runs fn on the strand and waits for it; for tests and metrics.
+  void inspect(const std::function<void(const carrier::Carrier&, const flightsql::Front&)>& fn);
+
+ private:
+  class Lists;
+
+  void on_strand(const std::function<void()>& fn);  // and waits for it
+
+  config::GatewayConfig config_;
+  boost::asio::any_io_executor strand_;
+  std::unique_ptr<Log> log_;
+  SystemClock clock_;
+  membership::Directory directory_;
+  rpc::GrpcChannelFactory channels_;
+  flightsql::NodeClient nodes_;
+  std::unique_ptr<Lists> lists_;
+  std::unique_ptr<carrier::Carrier> carrier_;
+  std::unique_ptr<flightsql::Front> front_;
+  std::unique_ptr<rpc::GrpcServer> server_;
+};
+
+}  // namespace sablelink::service
--- /dev/null
+++ b/src/service/runtime.cpp
@@ -0,0 +1,109 @@
+#include "service/runtime.h"
+
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdio>
+
+namespace sablelink::service {
+namespace asio = boost::asio;
+
+Threads::Threads(size_t count) : guard_(context_.get_executor()) {
+  for (size_t i = 0; i < count; ++i) threads_.emplace_back([this] { context_.run(); });
+}
+
+Threads::~Threads() { stop(); }
+
+asio::any_io_executor Threads::strand() { return asio::make_strand(context_); }
+
+void Threads::stop() {
+  guard_.reset();
+  context_.stop();
+  for (std::thread& t : threads_) t.join();
+  threads_.clear();
+}
+
+SystemClock::SystemClock(const System& system, asio::any_io_executor strand)
+    : steady_(system.steady),
+      strand_(std::move(strand)),
+      base_us_(std::chrono::duration_cast<std::chrono::microseconds>(system.wall().time_since_epoch()).count()),
+      base_(steady_()) {}
+
+TimeUs SystemClock::now() const {
+  return base_us_ + std::chrono::duration_cast<std::chrono::microseconds>(steady_() - base_).count();
+}
+
+void SystemClock::call_after(TimeUs delay, std::function<void()> fn) {
+  if (delay <= 0) {
+    asio::post(strand_, std::move(fn));
+    return;
+  }
+  const auto timer = std::make_shared<asio::steady_timer>(strand_, std::chrono::microseconds(delay));
+  timer->async_wait([timer, fn = std::move(fn)](const boost::system::error_code& error) {
+    if (!error) fn();
+  });
+}
+
+namespace {
+
+std::string escaped(std::string_view text) {
+  std::string out;
+  for (const char c : text) {
+    if (c == '"' || c == '\\') {
+      out += '\\';
+      out += c;
+    } else if (static_cast<unsigned char>(c) < 0x20) {
+      char code[8];
+      std::snprintf(code, sizeof(code), "\\u%04x", c);
+      out += code;
+    } else {
+      out += c;
+    }
+  }
+  return out;
+}
+
+class JsonLog : public Log {
+ public:
+  JsonLog(const std::string& concern, const std::string& level)
+      : logger_(concern, std::make_shared<spdlog::sinks::stderr_sink_mt>()) {
+    logger_.set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%e%z","level":"%l","log":"%n",%v})");
+    logger_.set_level(spdlog::level::from_str(level));
+    logger_.flush_on(spdlog::level::info);
+  }
+
+  void write(LogLevel level, std::string_view event, LogFields fields) override {
+    const auto at = level_of(level);
+    if (!logger_.should_log(at)) return;
+    std::string line = "\"event\":\"" + escaped(event) + "\"";
+    for (const auto& [key, value] : fields) line += ",\"" + escaped(key) + "\":\"" + escaped(value) + "\"";
+    logger_.log(at, spdlog::string_view_t(line.data(), line.size()));
+  }
+
+ private:
+  static spdlog::level::level_enum level_of(LogLevel level) {
+    switch (level) {
+      case LogLevel::kDebug:
+        return spdlog::level::debug;
+      case LogLevel::kInfo:
+        return spdlog::level::info;
+      case LogLevel::kWarn:
+        return spdlog::level::warn;
+      case LogLevel::kError:
+        return spdlog::level::err;
+    }
+    return spdlog::level::info;
+  }
+
+  spdlog::logger logger_;
+};
+
+}  // namespace
+
+std::unique_ptr<Log> make_json_log(const std::string& concern, const std::string& level) {
+  return std::make_unique<JsonLog>(concern, level);
+}
+
+}  // namespace sablelink::service
