--- a/src/carrier/carrier.h
+++ b/src/carrier/carrier.h
@@ -77,6 +77,7 @@
   size_t open() const { return open_; }           // requests without a final answer
   size_t entries() const { return requests_.size(); }  // the same and those with an attempt still out
   size_t held_bytes() const { return held_all_; }      // kept back, or given to sinks and not yet consumed
+  size_t probes_out() const { return probes_.size(); }
   const CarrierCounts& counts() const { return counts_; }
 
  private:
--- a/src/nodes/stand_in.h
+++ b/src/nodes/stand_in.h
@@ -30,6 +30,7 @@
   // Adds a fault that begins now.
   void begin_fault(FaultKind kind, TimeUs for_us, double value);
   size_t open() const { return jobs_.size(); }
+  bool fallen() const { return engine_.fallen(); }
   uint64_t executed() const { return executed_; }  // statements whose work was done
 
  private:
--- /dev/null
+++ b/tests/arrowipc_test.cpp
@@ -0,0 +1,161 @@
+// Arrow IPC: what goes out comes back, and bytes that aren't right are refused, whatever they are.
+#include "arrowipc/ipc.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "flightsql/catalog.h"
+
+namespace sablelink::arrowipc {
+namespace {
+
+Field field(std::string name, Type type) {
+  Field f;
+  f.name = std::move(name);
+  f.type = type;
+  return f;
+}
+
+Schema flat_schema() {
+  Schema s{{field("b", Type::kBool), field("i", Type::kInt32), field("l", Type::kInt64), field("d", Type::kDouble),
+            field("u", Type::kUtf8), field("x", Type::kBinary), field("t", Type::kTimestamp),
+            field("n", Type::kNull)}};
+  s.fields[6].unit = TimeUnit::kNanosecond;
+  s.fields[6].timezone = "Africa/Nairobi";
+  return s;
+}
+
+Batch flat_batch(const Schema& schema, int64_t rows, uint64_t nulls) {
+  std::vector<ArrayBuilder> b;
+  for (const Field& f : schema.fields) b.emplace_back(f);
+  for (int64_t r = 0; r < rows; ++r) {
+    for (size_t c = 0; c < b.size(); ++c) {
+      if (schema.fields[c].type == Type::kNull || (nulls >> ((r * 7 + c) % 64) & 1)) {
+        b[c].null();
+        continue;
+      }
+      switch (schema.fields[c].type) {
+        case Type::kBool:
+          b[c].boolean(r % 3 == 0);
+          break;
+        case Type::kDouble:
+          b[c].number(r / 3.0);
+          break;
+        case Type::kUtf8:
+        case Type::kBinary:
+          b[c].bytes(std::string(r % 5, 'a' + r % 26));
+          break;
+        default:
+          b[c].integer(r * 1000 - 7);
+      }
+    }
+  }
+  Batch batch;
+  batch.rows = rows;
+  for (ArrayBuilder& column : b) batch.columns.push_back(column.finish());
+  return batch;
+}
+
+void expect_same(const Schema& schema, const Batch& a, const Batch& b) {
+  ASSERT_EQ(a.rows, b.rows);
+  for (size_t c = 0; c < schema.fields.size(); ++c)
+    for (int64_t r = 0; r < a.rows; ++r)
+      ASSERT_EQ(value_at(a.columns[c], schema.fields[c], r), value_at(b.columns[c], schema.fields[c], r))
+          << schema.fields[c].name << " row " << r;
+}
+
+TEST(ArrowIpc, SchemasComeBackAsTheyWere) {
+  const Schema schema = flat_schema();
+  EXPECT_EQ(decode_schema(encode_schema(schema).header), schema);
+  EXPECT_EQ(decode_encapsulated_schema(encapsulate(encode_schema(schema))), schema);
+  EXPECT_EQ(message_kind(encode_schema(schema).header), MessageKind::kSchema);
+  EXPECT_EQ(encode_schema(schema).header.size() % 8, 0u);
+}
+
+TEST(ArrowIpc, NestedTypesComeBackAsTheyWere) {
+  const flightsql::ResultTable info = flightsql::sql_info({});
+  const Message schema = encode_schema(info.schema);
+  EXPECT_EQ(decode_schema(schema.header), info.schema);
+  const Message batch = encode_batch(info.schema, info.batch);
+  expect_same(info.schema, decode_batch(info.schema, batch.header, batch.body), info.batch);
+}
+
+TEST(ArrowIpc, ZeroRowsAreABatch) {
+  const Schema schema = flat_schema();
+  const Message m = encode_batch(schema, flat_batch(schema, 0, 0));
+  EXPECT_EQ(decode_batch(schema, m.header, m.body).rows, 0);
+}
+
+RC_GTEST_PROP(ArrowIpc, BatchesComeBackAsTheyWere, (uint64_t nulls)) {
+  const Schema schema = flat_schema();
+  const int64_t rows = *rc::gen::inRange<int64_t>(0, 70);
+  const Batch batch = flat_batch(schema, rows, nulls);
+  const Message m = encode_batch(schema, batch);
+  RC_ASSERT(m.header.size() % 8 == 0u);
+  expect_same(schema, decode_batch(schema, m.header, m.body), batch);
+}
+
+// Any change of bytes is either harmless or refused; it never reads outside (see the sanitizer runs).
+RC_GTEST_PROP(ArrowIpc, ChangedBytesAreRefusedOrRead, (uint64_t nulls, uint32_t at, uint8_t value)) {
+  const Schema schema = flat_schema();
+  const Message m = encode_batch(schema, flat_batch(schema, 20, nulls));
+  std::string header = m.header, body = m.body;
+  header[at % header.size()] = static_cast<char>(value);
+  try {
+    const Batch batch = decode_batch(schema, header, body);
+    for (size_t c = 0; c < schema.fields.size(); ++c)
+      for (int64_t r = 0; r < batch.rows; ++r) value_at(batch.columns[c], schema.fields[c], r);
+  } catch (const FormatError&) {
+  }
+  try {
+    decode_schema(std::string(encode_schema(schema).header).replace(at % 100, 1, 1, static_cast<char>(value)));
+  } catch (const FormatError&) {
+  }
+  body[at % body.size()] = static_cast<char>(value);
+  try {
+    const Batch batch = decode_batch(schema, m.header, body);
+    for (size_t c = 0; c < schema.fields.size(); ++c)
+      for (int64_t r = 0; r < batch.rows; ++r) value_at(batch.columns[c], schema.fields[c], r);
+  } catch (const FormatError&) {
+  }
+}
+
+RC_GTEST_PROP(ArrowIpc, AnyBytesAreRefused, (const std::string& bytes)) {
+  RC_ASSERT_THROWS_AS(decode_schema(bytes), FormatError);
+  RC_ASSERT_THROWS_AS(decode_encapsulated_schema(bytes), FormatError);
+}
+
+std::string error_of(const std::function<void()>& fn) {
+  try {
+    fn();
+  } catch (const FormatError& e) {
+    return e.what();
+  }
+  return "";
+}
+
+TEST(ArrowIpc, WrongLengthsAreNamed) {
+  const Schema schema = flat_schema();
+  const Message m = encode_batch(schema, flat_batch(schema, 9, 0));
+  EXPECT_NE(error_of([&] { decode_batch(schema, m.header, m.body.substr(8)); }).find("where the header tells"),
+            std::string::npos);
+  Schema other = schema;
+  other.fields.pop_back();
+  EXPECT_NE(error_of([&] { decode_batch(other, m.header, m.body); }).find("too many columns"), std::string::npos);
+  other = schema;
+  other.fields.push_back(field("more", Type::kInt64));
+  EXPECT_NE(error_of([&] { decode_batch(other, m.header, m.body); }).find("'more'"), std::string::npos);
+  other = schema;
+  other.fields[1].type = Type::kInt64;  // its buffer is half as long
+  EXPECT_NE(error_of([&] { decode_batch(other, m.header, m.body); }).find("'i'"), std::string::npos);
+}
+
+TEST(ArrowIpc, BuildersRefuseWhatDoesNotFit) {
+  ArrayBuilder narrow(field("i", Type::kInt32)), text(field("u", Type::kUtf8));
+  EXPECT_THROW(narrow.integer(int64_t{1} << 40), FormatError);
+  EXPECT_THROW(narrow.bytes("x"), FormatError);
+  EXPECT_THROW(text.integer(1), FormatError);
+}
+
+}  // namespace
+}  // namespace sablelink::arrowipc
--- /dev/null
+++ b/tests/config_test.cpp
@@ -0,0 +1,219 @@
+// Configurations: what is good is read, what is wrong is named with file, line and key.
+#include <gtest/gtest.h>
+
+#include "config/gateway_config.h"
+#include "membership/directory.h"
+#include "nodes/node_config.h"
+
+namespace sablelink::config {
+namespace {
+
+constexpr const char* kGood = R"([gateway]
+name = "desk-1"
+listen = "127.0.0.1:4000"
+instances = 3
+index = 1
+zone = "west"
+[limits]
+max_open = 50
+hold_bytes = "64KiB"
+[rules]
+drain_grace = "500ms"
+budget_window = "10s"
+budget_free = 2
+budget_per_request = 0.2
+[[zone]]
+name = "east"
+[[zone]]
+name = "west"
+[[kind]]
+name = "std"
+cores = 8
+memory = "16GiB"
+[[class]]
+name = "lookup"
+aim = "1.5s"
+aim_stretch = 2
+deadline = "7.5s"
+[[class]]
+name = "load"
+aim = "10s"
+deadline = "60s"
+repeat = "unsafe"
+in_order = true
+only_zones = ["east"]
+[[tenant]]
+name = "desks"
+[[tenant]]
+name = "officers"
+allowance_per_s = 5
+[[table]]
+name = "gallery"
+group = 7
+[requests]
+default_class = "lookup"
+tenant_header = "x-tenant"
+key_header = "x-order-key"
+cost_header = "x-cost-us"
+[[select]]
+name = "loads"
+kinds = ["insert", "load"]
+class = "load"
+[[select]]
+name = "officers"
+users = ["officer-*"]
+headers = { "x-desk" = "archive*" }
+class = "lookup"
+tenant = "officers"
+[[node]]
+name = "n1"
+address = "127.0.0.1:5001"
+zone = "east"
+kind = "std"
+[[node]]
+name = "n2"
+address = "127.0.0.1:5002"
+zone = "west"
+state = "draining"
+started_us = 1700000000000000
+)";
+
+TEST(Config, ReadsAllOfIt) {
+  const GatewayConfig c = parse_gateway_config(kGood, "desk.toml");
+  EXPECT_EQ(c.name, "desk-1");
+  EXPECT_EQ(c.settings.zone, 1);
+  EXPECT_EQ(c.settings.instances, 3);
+  EXPECT_EQ(c.carrier.max_open, 50u);
+  EXPECT_EQ(c.carrier.hold_bytes, 65536u);
+  EXPECT_EQ(c.settings.drain_grace_us, 500'000);
+  EXPECT_TRUE(c.settings.attempts_rationed);
+  EXPECT_EQ(c.settings.kind_cores, std::vector<double>{8});
+  EXPECT_EQ(c.settings.kind_memory_mb, std::vector<double>{16384});
+  EXPECT_EQ(c.settings.classes.at(0).deadline_us, 7'500'000);
+  EXPECT_EQ(c.settings.classes.at(1).repeat, Repeat::kFragile);
+  EXPECT_EQ(c.settings.classes.at(1).only_zones, std::vector<int>{0});
+  EXPECT_EQ(c.nodes.at(1).state, EngineState::kDraining);
+}
+
+std::string error_of(std::string text, const std::string& from = "", const std::string& to = "") {
+  if (!from.empty()) {
+    const size_t at = text.find(from);
+    EXPECT_NE(at, std::string::npos) << from;
+    text.replace(at, from.size(), to);
+  }
+  try {
+    parse_gateway_config(text, "desk.toml");
+  } catch (const ConfigError& e) {
+    return e.what();
+  }
+  return "";
+}
+
+TEST(Config, ErrorsNameFileLineAndKey) {
+  EXPECT_EQ(error_of(kGood, "instances = 3", "instances = \"three\""),
+            "desk.toml:4: gateway.instances: must be an integer, not a text");
+  EXPECT_EQ(error_of(kGood, "instances = 3", "instants = 3"), "desk.toml:5: gateway.index: 1 is not from 0 to 0");
+  EXPECT_EQ(error_of(kGood, "max_open = 50", "max_opne = 50"), "desk.toml:8: limits.max_opne: is not a known key");
+  EXPECT_EQ(error_of(kGood, "max_open = 50", "max_open = 0"),
+            "desk.toml:8: limits.max_open: 0 is not from 1 to 1000000");
+  EXPECT_EQ(error_of(kGood, "drain_grace = \"500ms\"", "drain_grace = 500"),
+            "desk.toml:11: rules.drain_grace: must be a time such as \"250ms\" or \"1.5s\"");
+  EXPECT_EQ(error_of(kGood, "zone = \"west\"", "zone = \"north\""),
+            "desk.toml:6: gateway.zone: 'north' isn't configured");
+  EXPECT_EQ(error_of(kGood, "repeat = \"unsafe\"", "repeat = \"maybe\""),
+            "desk.toml:32: class[1].repeat: 'maybe' is none of: safe, keyed, unsafe");
+  EXPECT_EQ(error_of(kGood, "class = \"load\"", "class = \"loads\""),
+            "desk.toml:51: select[0].class: 'loads' isn't configured");
+  EXPECT_EQ(error_of(kGood, "name = \"n2\"", "name = \"n1\""), "desk.toml:64: node[1].name: 'n1' stands twice");
+  EXPECT_EQ(error_of(kGood, "address = \"127.0.0.1:5002\"", "address = \"127.0.0.1:5001\""),
+            "desk.toml:65: node[1].address: '127.0.0.1:5001' stands twice");
+  EXPECT_EQ(error_of("[gateway]\nname = \n").substr(0, 12), "desk.toml:2:");
+  EXPECT_NE(error_of("[gateway]\nname = \"x\"\n").find("at least one [[class]]"), std::string::npos);
+  EXPECT_NE(error_of(kGood, "[rules]", "[[rules]]").find("must be a table"), std::string::npos);
+}
+
+TEST(Config, TimesAndSizes) {
+  EXPECT_EQ(parse_time("20us"), 20);
+  EXPECT_EQ(parse_time("1.5s"), 1'500'000);
+  EXPECT_EQ(parse_time("2m"), 120'000'000);
+  EXPECT_FALSE(parse_time("5"));
+  EXPECT_FALSE(parse_time("-5s"));
+  EXPECT_FALSE(parse_time("5 s"));
+  EXPECT_FALSE(parse_time("nans"));
+  EXPECT_FALSE(parse_time("1e300s"));
+}
+
+TEST(Config, NodesHaveTheirOwn) {
+  const nodes::NodeConfig n = nodes::parse_node_config(
+      "[node]\nname = \"n\"\nlisten = \"127.0.0.1:0\"\n[engine]\ncores = 4\n[[fault]]\nkind = \"hang\"\nfrom = "
+      "\"5s\"\nfor = \"2s\"\n",
+      "n.toml");
+  EXPECT_EQ(n.engine.cores, 4);
+  EXPECT_EQ(n.faults.at(0).from_us, 5'000'000);
+  EXPECT_THROW(nodes::parse_node_config("[node]\nname = \"n\"\n", "n.toml"), ConfigError);
+}
+
+class Select : public testing::Test {
+ protected:
+  Selection of(const std::string& sql, const std::string& user = "",
+               std::vector<std::pair<std::string, std::string>> headers = {}) {
+    const sql::StatementInfo info = sql::inspect(sql);
+    RequestFacts facts;
+    facts.user = user;
+    facts.headers = &headers;
+    facts.statement = &info;
+    return select(config_.selectors, facts);
+  }
+  GatewayConfig config_ = parse_gateway_config(kGood, "desk.toml");
+};
+
+TEST_F(Select, FirstMatchWinsAndAllConditionsMustHold) {
+  EXPECT_EQ(of("INSERT INTO gallery VALUES (1)").cls, 1);
+  EXPECT_EQ(of("SELECT 1", "officer-7").by, nullptr);
+  const Selection s = of("SELECT 1", "officer-7", {{"x-desk", "archive-2"}});
+  ASSERT_NE(s.by, nullptr);
+  EXPECT_EQ(s.by->name, "officers");
+  EXPECT_EQ(s.tenant, 1);
+}
+
+TEST_F(Select, WhatNothingMatchesGetsTheDefaultClass) {
+  const Selection s = of("no statement at all, \x01");
+  EXPECT_EQ(s.cls, 0);
+  EXPECT_EQ(s.tenant, 0);
+  EXPECT_EQ(s.key, 0u);
+  EXPECT_EQ(s.table_group, -1);
+}
+
+TEST_F(Select, HeadersCarryTenantKeyAndCost) {
+  const Selection s = of("SELECT * FROM main.gallery", "",
+                         {{"x-tenant", "officers"}, {"x-order-key", "desk 4"}, {"x-cost-us", "2500"}});
+  EXPECT_EQ(s.tenant, 1);
+  EXPECT_NE(s.key, 0u);
+  EXPECT_EQ(s.cost_us, 2500);
+  EXPECT_EQ(s.table_group, 7);
+  EXPECT_EQ(of("SELECT 1", "", {{"x-order-key", "desk 4"}}).key, s.key);
+  EXPECT_FALSE(of("SELECT 1", "", {{"x-cost-us", "a lot"}}).cost_us);
+  EXPECT_FALSE(of("SELECT 1", "", {{"x-cost-us", "inf"}}).cost_us);
+}
+
+TEST(Directory, KeepsIdsAndNeverGivesThemTwice) {
+  membership::Directory d;
+  NodeConfig a, b;
+  a.name = "a";
+  a.address = "h:1";
+  b.name = "b";
+  b.address = "h:2";
+  d.replace({a, b});
+  const EngineId first = d.entries()[0].engine;
+  d.replace({b});
+  EXPECT_EQ(d.entries().size(), 1u);
+  EXPECT_EQ(d.address(first), "h:1");
+  a.address = "h:3";
+  d.replace({a, b});
+  EXPECT_NE(d.entries()[0].engine, first);
+  EXPECT_EQ(d.address(d.entries()[0].engine), "h:3");
+  EXPECT_EQ(d.address(99), "");
+}
+
+}  // namespace
+}  // namespace sablelink::config
--- /dev/null
+++ b/tests/loopback_test.cpp
@@ -0,0 +1,837 @@
+// The whole path on loopback sockets: clients, a gateway, stand-in nodes, and the failures that the gateway is
+// made for. What each test checks was seen by the nodes or the clients; the auditor has the last word.
+#include <gtest/gtest.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_future.hpp>
+#include <chrono>
+#include <future>
+#include <mutex>
+#include <random>
+
+#include "audit/auditor.h"
+#include "flightsql/client.h"
+#include "flightsql/messages.h"
+#include "flightsql/terms.h"
+#include "rpc/grpc_client.h"
+#include "service/gateway_service.h"
+#include "service/node_service.h"
+
+namespace sablelink {
+namespace {
+
+using flightsql::Client;
+using flightsql::ClientOptions;
+using flightsql::QueryResult;
+using carrier::Verdict;
+using nodes::NodeEvent;
+using rpc::Code;
+
+constexpr TimeUs kMs = 1000, kSecond = 1'000'000;
+
+service::System test_system() {
+  service::System s;
+  s.wall = [] { return std::chrono::system_clock::now(); };
+  s.steady = [] { return std::chrono::steady_clock::now(); };
+  s.random = [n = std::make_shared<std::mt19937_64>(11)] { return (*n)(); };
+  return s;
+}
+
+class MemoryRecorder : public nodes::Recorder {
+ public:
+  void record(const NodeEvent& event) override {
+    const std::lock_guard lock(mutex_);
+    events_.push_back(event);
+  }
+  std::vector<NodeEvent> events() const {
+    const std::lock_guard lock(mutex_);
+    return events_;
+  }
+  size_t count(NodeEvent::Kind kind, const std::string& tag = "") const {
+    size_t n = 0;
+    for (const NodeEvent& e : events()) n += e.kind == kind && (tag.empty() || e.tag == tag);
+    return n;
+  }
+
+ private:
+  mutable std::mutex mutex_;
+  std::vector<NodeEvent> events_;
+};
+
+constexpr const char* kClasses = R"(
+[[class]]
+name = "safe"
+aim = "2s"
+deadline = "10s"
+late_worth = 0.5
+[[class]]
+name = "unsafe"
+aim = "2s"
+deadline = "10s"
+late_worth = 0.5
+repeat = "unsafe"
+[[class]]
+name = "ordered"
+aim = "2s"
+deadline = "10s"
+late_worth = 0.5
+in_order = true
+[[class]]
+name = "bound"
+aim = "2s"
+deadline = "10s"
+only_zones = ["far"]
+[[zone]]
+name = "near"
+[[zone]]
+name = "far"
+[[kind]]
+name = "std"
+cores = 8
+memory = "16GiB"
+[[select]]
+headers = { "x-class" = "unsafe" }
+class = "unsafe"
+[[select]]
+headers = { "x-class" = "ordered" }
+class = "ordered"
+[[select]]
+headers = { "x-class" = "bound" }
+class = "bound"
+[[table]]
+name = "gallery"
+[requests]
+key_header = "x-order-key"
+[rules]
+drain_grace = "250ms"
+turn_gap = "300ms"
+)";
+
+class Loopback : public testing::Test {
+ protected:
+  void SetUp() override {
+    system_ = test_system();
+    threads_ = std::make_unique<service::Threads>(3);
+    channels_ = std::make_unique<rpc::GrpcChannelFactory>(rpc::GrpcClientOptions{}, system_.wall);
+    config_ = config::parse_gateway_config(kClasses, "test");
+    config_.name = "g";
+    config_.listen = "127.0.0.1:0";
+    config_.log_level = "error";
+  }
+  void TearDown() override {
+    client_.reset();
+    gateway_.reset();
+    nodes_.clear();
+    channels_.reset();
+    threads_.reset();
+  }
+
+  service::NodeService& add_node(nodes::NodeConfig node = {}, int zone = 0) {
+    node.name = "n" + std::to_string(config_.nodes.size());
+    if (node.listen.empty()) node.listen = "127.0.0.1:0";
+    nodes_.push_back(std::make_unique<service::NodeService>(node, system_, *threads_, &recorder_));
+    config::NodeConfig entry;
+    entry.name = node.name;
+    entry.zone = zone;
+    entry.address = "127.0.0.1:" + std::to_string(nodes_.back()->port());
+    config_.nodes.push_back(entry);
+    return *nodes_.back();
+  }
+  void start() {
+    gateway_ = std::make_unique<service::GatewayService>(config_, system_, *threads_);
+    client_ = open_client();
+  }
+  std::unique_ptr<Client> open_client() {
+    return std::make_unique<Client>(channels_->open("127.0.0.1:" + std::to_string(gateway_->port())));
+  }
+
+  static ClientOptions options(TimeUs timeout, const std::string& cls = "", const std::string& key = "") {
+    ClientOptions o;
+    o.timeout_us = timeout;
+    if (!cls.empty()) o.headers.emplace_back("x-class", cls);
+    if (!key.empty()) o.headers.emplace_back("x-order-key", key);
+    return o;
+  }
+  template <typename T>
+  std::future<T> spawn(rpc::Awaitable<T> work) {
+    return boost::asio::co_spawn(threads_->strand(), std::move(work), boost::asio::use_future);
+  }
+  // Sends a statement and takes down what the auditor needs of it.
+  std::future<QueryResult> send(const std::string& sql, const std::string& tag, ClientOptions o, bool update = false,
+                                Client* client = nullptr) {
+    o.headers.emplace_back(std::string(flightsql::kClientTagKey), tag);
+    return spawn(recorded(client == nullptr ? client_.get() : client, sql, tag, std::move(o), update));
+  }
+  rpc::Awaitable<QueryResult> recorded(Client* client, std::string sql, std::string tag, ClientOptions o,
+                                       bool update) {
+    audit::ClientRecord r;
+    r.tag = tag;
+    r.gateway = "g";
+    for (const auto& [key, value] : o.headers) {
+      if (key == "x-class")
+        for (size_t i = 0; i < config_.class_names.size(); ++i)
+          if (config_.class_names[i] == value) r.cls = static_cast<int>(i);
+      if (key == "x-order-key") r.key = value;
+    }
+    r.asked_at = wall();
+    r.due_at = r.asked_at + (o.timeout_us > 0 ? o.timeout_us : 10 * kSecond);
+    QueryResult result;
+    if (update) result = co_await client->update(std::move(sql), std::move(o));
+    else result = co_await client->query(std::move(sql), std::move(o));
+    r.ended_at = wall();
+    r.answers = 1;
+    if (result.verdict == Verdict::kServed) r.end = audit::ClientRecord::End::kServed;
+    else if (result.verdict == Verdict::kRefused) r.end = audit::ClientRecord::End::kRefused;
+    else r.end = audit::ClientRecord::End::kFailed;
+    const std::lock_guard lock(mutex_);
+    records_.clients.push_back(r);
+    co_return result;
+  }
+  TimeUs wall() const {
+    return std::chrono::duration_cast<std::chrono::microseconds>(system_.wall().time_since_epoch()).count();
+  }
+  static void sleep(TimeUs us) { std::this_thread::sleep_for(std::chrono::microseconds(us)); }
+  // Waits until a condition holds; false after ten seconds.
+  template <typename Condition>
+  bool wait_for(Condition condition) {
+    for (int i = 0; i < 10'000; ++i) {
+      if (condition()) return true;
+      sleep(kMs);
+    }
+    return false;
+  }
+  size_t open_requests() {
+    size_t n = 0;
+    gateway_->inspect([&](const carrier::Carrier& c, const flightsql::Front&) { n = c.entries(); });
+    return n;
+  }
+
+  // What the auditor finds in all that has passed.
+  std::string audited() {
+    audit::AuditSettings s;
+    s.classes = config_.settings.classes;
+    s.class_names = config_.class_names;
+    s.rules = config_.settings;
+    s.slack_us = 200 * kMs;  // tests may run on crowded machines
+    for (const config::NodeConfig& n : config_.nodes) s.nodes.push_back({n.name, n.zone, n.kind, n.cell, 8, 1, 0});
+    const std::lock_guard lock(mutex_);
+    records_.nodes = recorder_.events();
+    std::string found;
+    for (const audit::Finding& f : audit::audit(s, records_).findings) found += f.what + "\n";
+    return found;
+  }
+
+  service::System system_;
+  std::unique_ptr<service::Threads> threads_;
+  std::unique_ptr<rpc::GrpcChannelFactory> channels_;
+  config::GatewayConfig config_;
+  MemoryRecorder recorder_;
+  std::vector<std::unique_ptr<service::NodeService>> nodes_;
+  std::unique_ptr<service::GatewayService> gateway_;
+  std::unique_ptr<Client> client_;
+  std::mutex mutex_;
+  audit::Records records_;
+};
+
+TEST_F(Loopback, AQueryComesBackWhole) {
+  add_node();
+  start();
+  const QueryResult r = send("SELECT * FROM gallery /*+ rows=2500 */", "a", options(5 * kSecond)).get();
+  EXPECT_EQ(r.verdict, Verdict::kServed) << r.status.message;
+  EXPECT_EQ(r.rows, 2500);
+  EXPECT_EQ(r.attempts, 1);
+  EXPECT_EQ(r.reason, "answered");
+  ASSERT_EQ(r.schema.fields.size(), 4u);
+  EXPECT_EQ(r.batches[1].columns[0].integer_at(0), 1024);
+  EXPECT_TRUE(r.batches[0].columns[2].is_null(6));
+  EXPECT_EQ(audited(), "");
+}
+
+TEST_F(Loopback, AnUpdateComesBackAsACount) {
+  add_node();
+  start();
+  const QueryResult r = send("UPDATE gallery SET a = 1 /*+ rows=7 */", "a", options(5 * kSecond), true).get();
+  EXPECT_EQ(r.verdict, Verdict::kServed) << r.status.message;
+  EXPECT_EQ(r.updated, 7);
+}
+
+TEST_F(Loopback, ALostAnswerIsTriedElsewhereOnceItsAttemptIsOver) {
+  add_node();
+  add_node();
+  start();
+  for (int i = 0; i < 20; ++i)  // what queries take is known by then
+    ASSERT_EQ(send("SELECT 1 /*+ work=10ms */", "w" + std::to_string(i), options(5 * kSecond)).get().verdict,
+              Verdict::kServed);
+  const QueryResult r =
+      send("SELECT 1 /*+ work=10ms mishap=lost on_attempt=0 */", "lost", options(8 * kSecond)).get();
+  EXPECT_EQ(r.verdict, Verdict::kServed) << r.status.message;
+  EXPECT_EQ(r.attempts, 2);
+  EXPECT_TRUE(wait_for([&] { return recorder_.count(NodeEvent::Kind::kEnded, "lost") == 2; }));
+  size_t done = 0;
+  for (const NodeEvent& e : recorder_.events())
+    done += e.tag == "lost" && e.kind == NodeEvent::Kind::kEnded && e.done;
+  EXPECT_EQ(done, 2u);  // the first did its work as well
+  EXPECT_EQ(audited(), "");
+}
+
+TEST_F(Loopback, AnUnsafeStatementWhoseConnectionBreaksFailsAndRunsOnce) {
+  add_node();
+  add_node();
+  start();
+  const QueryResult r = send("UPDATE gallery SET a = 1 /*+ work=40ms mishap=reset */", "u",
+                             options(5 * kSecond, "unsafe"), true)
+                            .get();
+  EXPECT_EQ(r.verdict, Verdict::kFailed);
+  EXPECT_EQ(r.status.code, Code::kUnknown);
+  EXPECT_EQ(recorder_.count(NodeEvent::Kind::kArrived, "u"), 1u);
+  EXPECT_EQ(audited(), "");
+}
+
+TEST_F(Loopback, ASafeQueryWhoseConnectionBreaksIsTriedAgain) {
+  add_node();
+  add_node();
+  start();
+  const QueryResult r =
+      send("SELECT 1 /*+ work=40ms mishap=reset on_attempt=0 */", "s", options(5 * kSecond)).get();
+  EXPECT_EQ(r.verdict, Verdict::kServed) << r.status.message;
+  EXPECT_EQ(r.attempts, 2);
+  EXPECT_EQ(audited(), "");
+}
+
+TEST_F(Loopback, AnUnsafeStatementThatANodeDidNotAdmitGoesElsewhere) {
+  add_node();
+  add_node();
+  start();
+  const QueryResult r = send("UPDATE gallery SET a = 1 /*+ mishap=refuse on_attempt=0 */", "u",
+                             options(5 * kSecond, "unsafe"), true)
+                            .get();
+  EXPECT_EQ(r.verdict, Verdict::kServed) << r.status.message;
+  EXPECT_EQ(r.attempts, 2);
+  EXPECT_EQ(audited(), "");
+}
+
+TEST_F(Loopback, AClientThatGivesUpMidRetryLeavesNothingBehind) {
+  add_node();
+  add_node();
+  start();
+  // Every attempt fails after a while; the client's patience ends between or within attempts.
+  std::vector<std::future<QueryResult>> all;
+  for (int i = 0; i < 20; ++i)
+    all.push_back(send("SELECT 1 /*+ work=30ms mishap=error */", "r" + std::to_string(i), options((20 + 7 * i) * kMs)));
+  for (auto& f : all) EXPECT_NE(f.get().verdict, Verdict::kServed);
+  EXPECT_TRUE(wait_for([&] { return open_requests() == 0; }));
+  EXPECT_TRUE(wait_for([&] {
+    return recorder_.count(NodeEvent::Kind::kArrived) == recorder_.count(NodeEvent::Kind::kEnded);
+  }));
+}
+
+TEST_F(Loopback, AClientThatDisconnectsMidAnswerStopsItsQueryAlone) {
+  add_node();
+  config_.carrier.hold_bytes = 1000;
+  config_.carrier.window_bytes = 64 << 10;
+  start();
+  auto leaver = open_client();
+  std::atomic<int> batches{0};
+  auto work = [](Client* c, std::atomic<int>* seen) -> rpc::Awaitable<QueryResult> {
+    std::string sql = "SELECT * FROM gallery /*+ rows=1000000 row_bytes=200 */";
+    Client::OnBatch on_batch = [seen](const arrowipc::Schema&, const arrowipc::Batch&) {
+      if (++*seen == 3) throw std::runtime_error("the client leaves");
+    };
+    ClientOptions o;
+    QueryResult r = co_await c->query(std::move(sql), std::move(o), std::move(on_batch));
+    co_return r;
+  };
+  auto left = spawn(work(leaver.get(), &batches));
+  EXPECT_THROW(left.get(), std::runtime_error);
+  leaver.reset();
+  EXPECT_TRUE(wait_for([&] { return open_requests() == 0; }));
+  EXPECT_EQ(send("SELECT 1", "after", options(5 * kSecond)).get().verdict, Verdict::kServed);
+  EXPECT_TRUE(wait_for([&] {
+    return recorder_.count(NodeEvent::Kind::kArrived) == recorder_.count(NodeEvent::Kind::kEnded);
+  }));
+  size_t held = 1;
+  EXPECT_TRUE(wait_for([&] {
+    gateway_->inspect([&](const carrier::Carrier& c, const flightsql::Front&) { held = c.held_bytes(); });
+    return held == 0;
+  }));
+}
+
+TEST_F(Loopback, AHungNodeIsLeftAndItsQueriesAreServedElsewhere) {
+  service::NodeService& bad = add_node();
+  add_node();
+  start();
+  for (int i = 0; i < 40; ++i)
+    send("SELECT 1 /*+ work=5ms */", "w" + std::to_string(i), options(5 * kSecond)).get();
+  bad.inspect([](nodes::StandIn& n) { n.begin_fault(nodes::FaultKind::kHang, 60 * kSecond, 1); });
+  std::vector<std::future<QueryResult>> all;
+  for (int i = 0; i < 30; ++i)
+    all.push_back(send("SELECT 1 /*+ work=5ms */", "h" + std::to_string(i), options(9 * kSecond)));
+  for (auto& f : all) {
+    const QueryResult r = f.get();
+    EXPECT_EQ(r.verdict, Verdict::kServed) << r.status.message;
+  }
+  EXPECT_EQ(audited(), "");
+}
+
+TEST_F(Loopback, ARefusedPortIsProofThatNothingRan) {
+  add_node();
+  config::NodeConfig closed;  // nobody listens there
+  closed.name = "closed";
+  {
+    service::NodeService ghost({.name = "ghost", .listen = "127.0.0.1:0"}, system_, *threads_, nullptr);
+    closed.address = "127.0.0.1:" + std::to_string(ghost.port());
+  }
+  config_.nodes.push_back(closed);
+  start();
+  for (int i = 0; i < 20; ++i) {
+    const QueryResult r = send("UPDATE gallery SET a = 1", "u" + std::to_string(i),
+                               options(5 * kSecond, "unsafe"), true)
+                              .get();
+    EXPECT_EQ(r.verdict, Verdict::kServed) << r.status.message;
+  }
+  EXPECT_EQ(audited(), "");
+}
+
+TEST_F(Loopback, AStreamBrokenWithinTheHeldPartIsTriedAgain) {
+  add_node();
+  add_node();
+  start();
+  const QueryResult r =
+      send("SELECT 1 /*+ rows=5000 mishap=break on_attempt=0 */", "b", options(5 * kSecond)).get();
+  EXPECT_EQ(r.verdict, Verdict::kServed) << r.status.message;
+  EXPECT_EQ(r.attempts, 2);
+  EXPECT_EQ(r.rows, 5000);
+}
+
+TEST_F(Loopback, AStreamBrokenPastTheHeldPartFails) {
+  add_node();
+  add_node();
+  config_.carrier.hold_bytes = 1000;
+  start();
+  const QueryResult r = send("SELECT 1 /*+ rows=5000 mishap=break */", "b", options(5 * kSecond)).get();
+  EXPECT_EQ(r.verdict, Verdict::kFailed);
+  EXPECT_EQ(r.reason, "stream-broken");
+  EXPECT_EQ(r.attempts, 1);
+}
+
+TEST_F(Loopback, TwoClientsOfOneKeyTakeTurns) {
+  add_node();
+  add_node();
+  start();
+  auto second = open_client();
+  std::vector<std::future<QueryResult>> all;
+  for (int i = 0; i < 6; ++i)
+    all.push_back(send("SELECT 1 /*+ work=30ms */", "k" + std::to_string(i), options(9 * kSecond, "ordered", "desk 4"),
+                       false, i % 2 == 0 ? client_.get() : second.get()));
+  for (auto& f : all) {
+    const QueryResult r = f.get();
+    EXPECT_EQ(r.verdict, Verdict::kServed) << r.status.message;
+  }
+  EXPECT_EQ(audited(), "");
+  // Seen at the nodes: no two at once.
+  int out = 0;
+  std::vector<NodeEvent> events = recorder_.events();
+  std::stable_sort(events.begin(), events.end(), [](const NodeEvent& a, const NodeEvent& b) { return a.at < b.at; });
+  for (const NodeEvent& e : events) {
+    if (e.kind == NodeEvent::Kind::kArrived) ++out;
+    if (e.kind == NodeEvent::Kind::kEnded) --out;
+    EXPECT_LE(out, 1);
+  }
+  second.reset();
+}
+
+TEST_F(Loopback, ADrainToldWhileARetryIsDueIsKept) {
+  add_node();
+  add_node();
+  add_node();
+  start();
+  std::vector<std::future<QueryResult>> all;
+  for (int i = 0; i < 30; ++i)
+    all.push_back(send("SELECT 1 /*+ work=100ms mishap=error on_attempt=0 */", "d" + std::to_string(i),
+                       options(8 * kSecond)));
+  sleep(30 * kMs);
+  config::GatewayConfig told = config_;
+  told.nodes[2].state = EngineState::kDraining;
+  {
+    const std::lock_guard lock(mutex_);
+    records_.told.push_back({"g", "n2", wall()});
+  }
+  gateway_->reload(told);
+  for (auto& f : all) EXPECT_EQ(f.get().verdict, Verdict::kServed);
+  for (int i = 0; i < 30; ++i)
+    EXPECT_EQ(send("SELECT 1", "e" + std::to_string(i), options(5 * kSecond)).get().verdict, Verdict::kServed);
+  EXPECT_EQ(audited(), "");
+}
+
+TEST_F(Loopback, EveryAllowedNodeDownMeansNoNodeAtAll) {
+  add_node();
+  service::NodeService& far = add_node({}, 1);
+  start();
+  EXPECT_EQ(send("SELECT 1", "f0", options(5 * kSecond, "bound")).get().verdict, Verdict::kServed);
+  far.kill();
+  const QueryResult r = send("SELECT 1", "f1", options(2 * kSecond, "bound")).get();
+  EXPECT_EQ(r.verdict, Verdict::kRefused);
+  EXPECT_EQ(r.status.code, Code::kUnavailable);
+  EXPECT_EQ(recorder_.count(NodeEvent::Kind::kArrived, "f1"), 0u);
+  EXPECT_EQ(audited(), "");
+}
+
+TEST_F(Loopback, ANodeThatRestartsColdUnderFullLoadStaysUp) {
+  nodes::NodeConfig cold;
+  cold.engine.cores = 2;
+  cold.engine.cold_from = 0.3;
+  cold.engine.warm_after_us = 4 * kSecond;
+  cold.engine.fall_multiple = 3;
+  cold.engine.fall_us = kSecond;
+  Settings& rules = config_.settings;
+  rules.cold_from = 0.3;
+  rules.warm_after_us = 4 * kSecond;
+  rules.fall_multiple = 3;
+  rules.fall_us = kSecond;
+  rules.kind_cores = {2};
+  nodes::NodeConfig warm = cold;
+  warm.engine.warm_after_us = 0;
+  add_node(warm);
+  add_node(warm);
+  start();
+  const auto load = [&](const std::string& name, int count) {
+    std::vector<std::future<QueryResult>> all;
+    for (int i = 0; i < count; ++i) {
+      all.push_back(send("SELECT 1 /*+ work=40ms */", name + std::to_string(i), options(4 * kSecond)));
+      sleep(8 * kMs);
+    }
+    for (auto& f : all) f.get();
+  };
+  load("w", 60);
+  nodes_[1]->kill();
+  cold.listen = config_.nodes[1].address;
+  cold.name = "n1";
+  nodes_[1] = std::make_unique<service::NodeService>(cold, system_, *threads_, &recorder_);
+  config::GatewayConfig told = config_;
+  told.nodes[1].started_us = wall();
+  gateway_->reload(told);
+  load("c", 250);
+  bool fallen = true;
+  nodes_[1]->inspect([&](nodes::StandIn& n) { fallen = n.fallen(); });
+  EXPECT_FALSE(fallen);
+  EXPECT_EQ(audited(), "");
+}
+
+TEST_F(Loopback, ASecondDoGetOnOneTicketIsServedAsARepeat) {
+  add_node();
+  start();
+  const Client::Ticket ticket = spawn(client_->ask("SELECT 1", options(5 * kSecond))).get();
+  ASSERT_TRUE(ticket.status.ok());
+  EXPECT_EQ(spawn(client_->fetch(ticket.ticket, options(5 * kSecond))).get().verdict, Verdict::kServed);
+  EXPECT_EQ(spawn(client_->fetch(ticket.ticket, options(5 * kSecond))).get().verdict, Verdict::kServed);
+}
+
+TEST_F(Loopback, GetFlightInfoDoesNoEngineWork) {
+  add_node();
+  start();
+  ASSERT_TRUE(spawn(client_->ask("SELECT 1", options(5 * kSecond))).get().status.ok());
+  EXPECT_EQ(recorder_.count(NodeEvent::Kind::kArrived), 0u);
+}
+
+TEST_F(Loopback, ACancelEndsTheQueryAndStopsItsNode) {
+  add_node();
+  start();
+  const Client::Ticket ticket = spawn(client_->ask("SELECT 1 /*+ work=60s */", options(30 * kSecond))).get();
+  auto running = spawn(client_->fetch(ticket.ticket, options(30 * kSecond)));
+  ASSERT_TRUE(wait_for([&] { return recorder_.count(NodeEvent::Kind::kArrived) == 1; }));
+  flightsql::flight::CancelFlightInfoRequest request;
+  request.mutable_info()->ParseFromString(ticket.info);
+  const auto cancel = [&] {
+    const auto r = spawn(client_->action("CancelFlightInfo", request.SerializeAsString(), options(5 * kSecond))).get();
+    flightsql::flight::CancelFlightInfoResult result;
+    EXPECT_TRUE(r.status.ok()) << r.status.message;
+    if (r.bodies.size() == 1) result.ParseFromString(r.bodies[0]);
+    return result.status();
+  };
+  EXPECT_EQ(cancel(), flightsql::flight::CANCEL_STATUS_CANCELLED);
+  const QueryResult r = running.get();
+  EXPECT_EQ(r.status.code, Code::kCancelled);
+  EXPECT_TRUE(wait_for([&] { return recorder_.count(NodeEvent::Kind::kEnded) == 1; }));
+  EXPECT_EQ(cancel(), flightsql::flight::CANCEL_STATUS_NOT_CANCELLABLE);
+}
+
+TEST_F(Loopback, StoppingEndsWhatIsHeldAndRefusesTheNew) {
+  add_node();
+  start();
+  auto held = send("SELECT 1 /*+ work=400ms */", "held", options(5 * kSecond));
+  ASSERT_TRUE(wait_for([&] { return recorder_.count(NodeEvent::Kind::kArrived) == 1; }));
+  std::future<void> stopped = std::async(std::launch::async, [&] { gateway_->stop(5 * kSecond); });
+  QueryResult fresh;
+  EXPECT_TRUE(wait_for([&] {
+    fresh = send("SELECT 1", "fresh" + std::to_string(wall()), options(kSecond)).get();
+    return fresh.reason == "stopping";
+  }));
+  EXPECT_EQ(fresh.status.code, Code::kUnavailable);
+  EXPECT_EQ(held.get().verdict, Verdict::kServed);
+  stopped.get();
+}
+
+TEST_F(Loopback, AKilledGatewayLosesWhatItHeldAndServesAfterItsRestart) {
+  add_node();
+  start();
+  const int port = gateway_->port();
+  const Client::Ticket old = spawn(client_->ask("SELECT 1", options(5 * kSecond))).get();
+  auto held = send("SELECT 1 /*+ work=20s */", "held", options(10 * kSecond));
+  ASSERT_TRUE(wait_for([&] { return recorder_.count(NodeEvent::Kind::kArrived) == 1; }));
+  gateway_.reset();  // breaks everything off
+  EXPECT_NE(held.get().verdict, Verdict::kServed);
+  EXPECT_TRUE(wait_for([&] { return recorder_.count(NodeEvent::Kind::kEnded) == 1; }));
+  config_.listen = "127.0.0.1:" + std::to_string(port);
+  start();
+  EXPECT_EQ(send("SELECT 1", "again", options(5 * kSecond)).get().verdict, Verdict::kServed);
+  const QueryResult r = spawn(client_->fetch(old.ticket, options(5 * kSecond))).get();
+  EXPECT_EQ(r.status.code, Code::kNotFound);
+  EXPECT_NE(r.status.message.find("another gateway or of this one before its restart"), std::string::npos);
+}
+
+TEST_F(Loopback, FiveThousandRequestsOpenAtOnce) {
+  nodes::NodeConfig roomy;
+  roomy.engine.sessions_per_core = 1e4;
+  add_node(roomy);
+  add_node(roomy);
+  config_.front.open_per_connection = 6'000;
+  start();
+  std::vector<std::future<QueryResult>> all;
+  for (int i = 0; i < 5'000; ++i)
+    all.push_back(send("SELECT 1 /*+ work=50ms */", "m" + std::to_string(i), options(60 * kSecond)));
+  size_t most = 0;
+  int served = 0, refused = 0, failed = 0;
+  EXPECT_TRUE(wait_for([&] {
+    most = std::max(most, open_requests());
+    return recorder_.count(NodeEvent::Kind::kArrived) > 0;
+  }));
+  for (auto& f : all) {
+    const QueryResult r = f.get();
+    (r.verdict == Verdict::kServed ? served : r.verdict == Verdict::kRefused ? refused : failed) += 1;
+  }
+  EXPECT_EQ(served + refused, 5'000);
+  EXPECT_EQ(failed, 0);
+  EXPECT_TRUE(wait_for([&] { return open_requests() == 0; }));
+  EXPECT_EQ(audited(), "");
+}
+
+TEST_F(Loopback, AConnectionMayHoldOnlySoMany) {
+  add_node();
+  config_.front.open_per_connection = 3;
+  start();
+  std::vector<std::future<QueryResult>> all;
+  for (int i = 0; i < 3; ++i)
+    all.push_back(send("SELECT 1 /*+ work=500ms */", "c" + std::to_string(i), options(5 * kSecond)));
+  ASSERT_TRUE(wait_for([&] { return recorder_.count(NodeEvent::Kind::kArrived) == 3; }));
+  const QueryResult over = send("SELECT 1", "over", options(5 * kSecond)).get();
+  EXPECT_EQ(over.reason, "connection-full");
+  auto other = open_client();
+  EXPECT_EQ(send("SELECT 1", "other", options(5 * kSecond), false, other.get()).get().verdict, Verdict::kServed);
+  for (auto& f : all) EXPECT_EQ(f.get().verdict, Verdict::kServed);
+  other.reset();
+}
+
+// ---- Prepared statements ---------------------------------------------------------------------------------
+
+class PreparedLoopback : public Loopback {
+ protected:
+  std::string create(const std::string& sql) {
+    flightsql::fsql::ActionCreatePreparedStatementRequest request;
+    request.set_query(sql);
+    const auto r =
+        spawn(client_->action("CreatePreparedStatement", flightsql::pack(request), options(5 * kSecond))).get();
+    EXPECT_TRUE(r.status.ok()) << r.status.message;
+    google::protobuf::Any any;
+    flightsql::fsql::ActionCreatePreparedStatementResult result;
+    if (r.bodies.size() != 1 || !any.ParseFromString(r.bodies[0]) || !any.UnpackTo(&result)) return "";
+    return result.prepared_statement_handle();
+  }
+  struct PutEnd {
+    rpc::Status status;
+    std::string metadata;
+  };
+  // A DoPut of a command with rows of one int64 column.
+  template <typename Command>
+  PutEnd put(const Command& command, const std::vector<int64_t>& values) {
+    arrowipc::Field field;
+    field.name = "p";
+    field.type = arrowipc::Type::kInt64;
+    const arrowipc::Schema schema{{field}};
+    arrowipc::ArrayBuilder builder(field);
+    for (const int64_t v : values) builder.integer(v);
+    arrowipc::Batch batch;
+    batch.rows = static_cast<int64_t>(values.size());
+    batch.columns.push_back(builder.finish());
+    flightsql::flight::FlightData first, second;
+    *first.mutable_flight_descriptor() = flightsql::descriptor_of(command);
+    first.set_data_header(arrowipc::encode_schema(schema).header);
+    const arrowipc::Message message = arrowipc::encode_batch(schema, batch);
+    second.set_data_header(message.header);
+    second.set_data_body(message.body);
+    return spawn(stream(first.SerializeAsString(), second.SerializeAsString())).get();
+  }
+  rpc::Awaitable<PutEnd> stream(std::string first, std::string second) {
+    const auto call = client_->channel().call("/arrow.flight.protocol.FlightService/DoPut", {}, 5 * kSecond);
+    co_await call->write(std::move(first), false);
+    co_await call->write(std::move(second), true);
+    PutEnd out;
+    while (const std::optional<std::string> message = co_await call->read()) {
+      flightsql::flight::PutResult result;
+      if (result.ParseFromString(*message)) out.metadata = result.app_metadata();
+    }
+    const rpc::CallEnd end = co_await call->finish();
+    out.status = end.status;
+    co_return out;
+  }
+};
+
+TEST_F(PreparedLoopback, BoundValuesReachTheNodeAsLiterals) {
+  add_node();
+  start();
+  const std::string handle = create("SELECT * FROM gallery /*+ rows=4 */ WHERE id = ?");
+  flightsql::fsql::CommandPreparedStatementQuery command;
+  command.set_prepared_statement_handle(handle);
+  const PutEnd bound = put(command, {48213});
+  ASSERT_TRUE(bound.status.ok()) << bound.status.message;
+  const auto info = [&] {
+    return spawn([](Client* c, std::string descriptor) -> rpc::Awaitable<std::pair<rpc::CallEnd, std::string>> {
+             const auto call = c->channel().call("/arrow.flight.protocol.FlightService/GetFlightInfo", {}, 5 * kSecond);
+             co_await call->write(std::move(descriptor), true);
+             std::pair<rpc::CallEnd, std::string> out;
+             if (const std::optional<std::string> message = co_await call->read()) out.second = *message;
+             out.first = co_await call->finish();
+             co_return out;
+           }(client_.get(), flightsql::descriptor_of(command).SerializeAsString()))
+        .get();
+  };
+  const auto [end, bytes] = info();
+  ASSERT_TRUE(end.status.ok()) << end.status.message;
+  flightsql::flight::FlightInfo flight;
+  flight.ParseFromString(bytes);
+  const QueryResult r =
+      spawn(client_->fetch(flight.endpoint(0).ticket().SerializeAsString(), options(5 * kSecond))).get();
+  EXPECT_EQ(r.verdict, Verdict::kServed) << r.status.message;
+  EXPECT_EQ(r.rows, 4);
+  EXPECT_EQ(put(command, {1, 2}).status.code, Code::kInvalidArgument);  // one row at most
+  flightsql::fsql::ActionClosePreparedStatementRequest close;
+  close.set_prepared_statement_handle(handle);
+  EXPECT_TRUE(
+      spawn(client_->action("ClosePreparedStatement", flightsql::pack(close), options(kSecond))).get().status.ok());
+  EXPECT_EQ(info().first.status.code, Code::kNotFound);
+}
+
+TEST_F(PreparedLoopback, AnUpdateRunsOnceForEachRow) {
+  add_node();
+  start();
+  flightsql::fsql::CommandPreparedStatementUpdate command;
+  command.set_prepared_statement_handle(create("UPDATE gallery SET a = ? /*+ rows=2 */"));
+  const PutEnd end = put(command, {5, 6, 7});
+  ASSERT_TRUE(end.status.ok()) << end.status.message;
+  flightsql::fsql::DoPutUpdateResult result;
+  ASSERT_TRUE(result.ParseFromString(end.metadata));
+  EXPECT_EQ(result.record_count(), 6);
+  EXPECT_EQ(recorder_.count(NodeEvent::Kind::kArrived), 3u);
+}
+
+// ---- Bad input -------------------------------------------------------------------------------------------
+
+class BadInput : public Loopback {
+ protected:
+  rpc::Status call(const std::string& method, const std::string& message) {
+    return spawn([](Client* c, std::string m, std::string bytes) -> rpc::Awaitable<rpc::Status> {
+             co_await c->channel().connect(kSecond);
+             const auto made = c->channel().call("/arrow.flight.protocol.FlightService/" + m, {}, 5 * kSecond);
+             co_await made->write(std::move(bytes), true);
+             while (const std::optional<std::string> message = co_await made->read()) continue;
+             const rpc::CallEnd end = co_await made->finish();
+             co_return end.status;
+           }(client_.get(), method, message))
+        .get();
+  }
+  void expect(const rpc::Status& status, Code code, const std::string& part) {
+    EXPECT_EQ(status.code, code) << status.message;
+    EXPECT_NE(status.message.find(part), std::string::npos) << status.message;
+  }
+  std::string ticket_of(const std::string& inner) {
+    flightsql::flight::Ticket ticket;
+    ticket.set_ticket(inner);
+    return ticket.SerializeAsString();
+  }
+};
+
+TEST_F(BadInput, IsNamedAndHurtsNobodyElse) {
+  add_node();
+  config_.front.statement_bytes = 1000;
+  config_.front.message_bytes = 64 << 10;
+  start();
+  expect(call("GetFlightInfo", "\xff\xff\xff"), Code::kInvalidArgument, "the request is no valid FlightDescriptor");
+  expect(call("GetFlightInfo", ""), Code::kInvalidArgument, "its type must be CMD");
+  flightsql::flight::FlightDescriptor d;
+  d.set_type(flightsql::flight::FlightDescriptor::CMD);
+  d.set_cmd("\xff\xff");
+  expect(call("GetFlightInfo", d.SerializeAsString()), Code::kInvalidArgument, "no valid Any");
+  d.set_cmd("");
+  expect(call("GetFlightInfo", d.SerializeAsString()), Code::kInvalidArgument, "its type is empty");
+  google::protobuf::Any any;
+  any.set_type_url("type.googleapis.com/arrow.flight.protocol.sql.CommandStatementQuery");
+  any.set_value("\xff");
+  d.set_cmd(any.SerializeAsString());
+  expect(call("GetFlightInfo", d.SerializeAsString()), Code::kInvalidArgument, "no valid CommandStatementQuery");
+  any.set_type_url("type.googleapis.com/arrow.flight.protocol.sql.CommandGetPrimaryKeys");
+  any.set_value("");
+  d.set_cmd(any.SerializeAsString());
+  expect(call("GetFlightInfo", d.SerializeAsString()), Code::kUnimplemented, "CommandGetPrimaryKeys");
+  expect(call("DoExchange", ""), Code::kUnimplemented, "DoExchange");
+  expect(call("DoGet", ticket_of("nothing")), Code::kInvalidArgument, "the ticket is no valid Any");
+  flightsql::fsql::TicketStatementQuery handle;
+  handle.set_statement_handle("SELECT 1");
+  expect(call("DoGet", ticket_of(flightsql::pack(handle))), Code::kInvalidArgument, "none that a gateway gives out");
+  expect(spawn(client_->ask(std::string(1001, 'x'), options(kSecond))).get().status, Code::kInvalidArgument,
+         "the statement has 1001 bytes; 1000 are allowed");
+  expect(spawn(client_->ask("", options(kSecond))).get().status, Code::kInvalidArgument, "the statement is empty");
+  EXPECT_EQ(call("GetFlightInfo", std::string(100 << 10, 'x')).code, Code::kResourceExhausted);
+  expect(spawn(client_->action("Fly", "", options(kSecond))).get().status, Code::kUnimplemented, "action Fly");
+  expect(call("DoPut", ""), Code::kInvalidArgument, "must have a descriptor");
+  // A forged ticket: one byte of a good one changed.
+  const Client::Ticket good = spawn(client_->ask("SELECT 1", options(kSecond))).get();
+  flightsql::flight::Ticket outer;
+  google::protobuf::Any inner;
+  outer.ParseFromString(good.ticket);
+  inner.ParseFromString(outer.ticket());
+  inner.UnpackTo(&handle);
+  handle.mutable_statement_handle()->back() ^= 1;
+  expect(call("DoGet", ticket_of(flightsql::pack(handle))), Code::kInvalidArgument, "has been changed");
+  // Parameters with a body of the wrong length.
+  flightsql::flight::FlightData data;
+  flightsql::fsql::CommandPreparedStatementUpdate update;
+  *data.mutable_flight_descriptor() = flightsql::descriptor_of(update);
+  data.set_data_header("too short to be a schema");
+  expect(call("DoPut", data.SerializeAsString()), Code::kInvalidArgument, "arrow ipc:");
+  EXPECT_EQ(recorder_.count(NodeEvent::Kind::kArrived), 0u);
+  EXPECT_EQ(send("SELECT 1", "after", options(5 * kSecond)).get().verdict, Verdict::kServed);
+  EXPECT_EQ(open_requests(), 0u);
+}
+
+TEST_F(BadInput, RandomMessagesAreRefused) {
+  add_node();
+  start();
+  std::mt19937 random(5);
+  for (const char* method : {"GetFlightInfo", "DoGet", "DoPut", "DoAction"}) {
+    for (int i = 0; i < 100; ++i) {
+      std::string bytes(random() % 60, '\0');
+      for (char& c : bytes) c = static_cast<char>(random());
+      EXPECT_FALSE(call(method, bytes).ok());
+    }
+  }
+  EXPECT_EQ(send("SELECT 1", "after", options(5 * kSecond)).get().verdict, Verdict::kServed);
+}
+
+TEST_F(Loopback, APortInUseIsAnError) {
+  add_node();
+  start();
+  config_.listen = "127.0.0.1:" + std::to_string(gateway_->port());
+  EXPECT_THROW(service::GatewayService(config_, system_, *threads_), rpc::ListenError);
+}
+
+}  // namespace
+}  // namespace sablelink
--- /dev/null
+++ b/tests/program_harness.h
@@ -0,0 +1,147 @@
+// Fakes around a carrier: a clock moved by hand, nodes and clients that take down what they are told.
+#pragma once
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "carrier/carrier.h"
+#include "tests/harness.h"
+
+namespace sablelink::test {
+
+class ManualClock : public Clock {
+ public:
+  TimeUs now() const override { return now_; }
+  void call_after(TimeUs delay, std::function<void()> fn) override {
+    calls_.emplace(std::pair(now_ + std::max<TimeUs>(delay, 0), ++order_), std::move(fn));
+  }
+  // Moves on, making each call at its time.
+  void run_for(TimeUs span) {
+    const TimeUs end = now_ + span;
+    while (!calls_.empty() && calls_.begin()->first.first <= end) {
+      const auto call = calls_.extract(calls_.begin());
+      now_ = std::max(now_, call.key().first);
+      call.mapped()();
+    }
+    now_ = end;
+  }
+  // Time passes without any call being made, as where the process stood still.
+  void stall(TimeUs span) { now_ += span; }
+  size_t pending() const { return calls_.size(); }
+
+ private:
+  TimeUs now_ = 1'000 * kSecond;
+  uint64_t order_ = 0;
+  std::map<std::pair<TimeUs, uint64_t>, std::function<void()>> calls_;
+};
+
+class FakeNodes : public carrier::NodeTransport {
+ public:
+  struct Sent {
+    carrier::AttemptKey key;
+    EngineId engine = 0;
+    carrier::AttemptOrder order;
+    TimeUs at = 0;
+    bool dropped = false, paused = false, ended = false;
+  };
+  explicit FakeNodes(const Clock& clock) : clock_(clock) {}
+  void start(carrier::AttemptKey key, EngineId engine, const carrier::AttemptOrder& order) override {
+    sent.push_back({key, engine, order, clock_.now()});
+  }
+  void drop(carrier::AttemptKey key) override {
+    if (Sent* const s = find(key)) s->dropped = true;
+  }
+  void pause(carrier::AttemptKey key) override {
+    if (Sent* const s = find(key)) s->paused = true;
+  }
+  void resume(carrier::AttemptKey key) override {
+    ++resumes;
+    if (Sent* const s = find(key)) s->paused = false;
+  }
+  void probe(uint32_t probe, EngineId engine) override { probes.emplace_back(probe, engine); }
+  void close_idle(EngineId) override {}
+
+  Sent* find(carrier::AttemptKey key) {
+    for (Sent& s : sent)
+      if (s.key == key) return &s;
+    return nullptr;
+  }
+  // The attempt of a request that is out now.
+  Sent* out(RequestId id) {
+    for (auto it = sent.rbegin(); it != sent.rend(); ++it)
+      if (it->key.request == id && !it->dropped && !it->ended) return &*it;
+    return nullptr;
+  }
+  int count(RequestId id) const {
+    return static_cast<int>(
+        std::count_if(sent.begin(), sent.end(), [&](const Sent& s) { return s.key.request == id; }));
+  }
+
+  std::vector<Sent> sent;
+  std::vector<std::pair<uint32_t, EngineId>> probes;
+  int resumes = 0;
+
+ private:
+  const Clock& clock_;
+};
+
+class FakeClient : public carrier::ReplySink {
+ public:
+  void write(std::string message) override {
+    bytes += message.size();
+    messages.push_back(std::move(message));
+  }
+  void finish(const carrier::FinalAnswer& answer) override { answers.push_back(answer); }
+  std::vector<std::string> messages;
+  std::vector<carrier::FinalAnswer> answers;
+  size_t bytes = 0;
+};
+
+class FakeLists : public carrier::ListSource {
+ public:
+  void subscribe(bool) override { ++asked; }
+  void fetch() override { ++asked; }
+  int asked = 0;
+};
+
+// One carrier with two ready engines, ids 1 and 2.
+class CarrierBench {
+ public:
+  explicit CarrierBench(Settings settings = plain_settings(), carrier::CarrierLimits limits = {})
+      : nodes(clock), carrier(std::move(settings), 7, limits, clock, nodes, lists, log) {
+    carrier.start();
+    carrier.set_list(ListForm::kFull, {engine(1), engine(2)});
+  }
+
+  RequestId take(std::shared_ptr<FakeClient> client, TimeUs patience = 5 * kSecond, int cls = 0, uint64_t key = 0) {
+    QueryRequest q;
+    q.cls = cls;
+    q.key = key;
+    q.due_us = clock.now() + patience;
+    auto statement = std::make_shared<carrier::Statement>();
+    statement->text = "SELECT 1";
+    return carrier.take(q, std::move(statement), std::move(client));
+  }
+  void end(FakeNodes::Sent& sent, Outcome outcome, bool statement_fault = false) {
+    sent.ended = true;
+    carrier::AttemptResult result;
+    result.outcome = outcome;
+    result.statement_fault = statement_fault;
+    if (outcome != Outcome::kOk) result.error = {13, "trouble"};
+    carrier.attempt_ended(sent.key, result);
+  }
+
+  ManualClock clock;
+  FakeNodes nodes;
+  FakeLists lists;
+  NullLog log;
+  carrier::Carrier carrier;
+};
+
+}  // namespace sablelink::test
