--- a/src/flightsql/client.cpp
+++ b/src/flightsql/client.cpp
@@ -11,8 +11,6 @@
 using rpc::Awaitable;
 using rpc::Code;
 
-std::string method(std::string_view name) { return std::string(kServicePrefix) + std::string(name); }
-
 rpc::Status no_connection() { return {Code::kUnavailable, "no connection to the gateway", ""}; }
 
 void read_end(const rpc::CallEnd& end, QueryResult& out) {
@@ -30,6 +28,25 @@
 
 }  // namespace
 
+void Canceller::add(const std::shared_ptr<rpc::ClientCall>& call) {
+  const std::lock_guard lock(mutex_);
+  std::erase_if(calls_, [](const std::weak_ptr<rpc::ClientCall>& c) { return c.expired(); });
+  calls_.push_back(call);
+}
+
+void Canceller::cancel_all() {
+  const std::lock_guard lock(mutex_);
+  for (const std::weak_ptr<rpc::ClientCall>& weak : calls_)
+    if (const auto call = weak.lock()) call->cancel();
+}
+
+std::shared_ptr<rpc::ClientCall> Client::call(std::string_view method, const ClientOptions& options) {
+  const std::shared_ptr<rpc::ClientCall> made =
+      channel_->call(std::string(kServicePrefix) + std::string(method), options.headers, options.timeout_us);
+  if (options.cancel) options.cancel->add(made);
+  return made;
+}
+
 Awaitable<Client::Ticket> Client::ask(std::string statement, ClientOptions options) {
   Ticket out;
   const bool connected = co_await channel_->connect(options.dial_timeout_us);
@@ -40,11 +57,11 @@
   }
   fsql::CommandStatementQuery command;
   command.set_query(std::move(statement));
-  const auto call = channel_->call(method("GetFlightInfo"), options.headers, options.timeout_us);
+  const std::shared_ptr<rpc::ClientCall> made = call("GetFlightInfo", options);
   std::string bytes = descriptor_of(command).SerializeAsString();
-  co_await call->write(std::move(bytes), true);
-  const std::optional<std::string> message = co_await call->read();
-  const rpc::CallEnd end = co_await call->finish();
+  co_await made->write(std::move(bytes), true);
+  const std::optional<std::string> message = co_await made->read();
+  const rpc::CallEnd end = co_await made->finish();
   out.status = end.status;
   flight::FlightInfo info;
   if (end.status.ok() && (!message || !info.ParseFromString(*message) || info.endpoint_size() == 0))
@@ -59,11 +76,11 @@
 Awaitable<QueryResult> Client::fetch(std::string ticket, ClientOptions options, OnBatch on_batch) {
   QueryResult out;
   out.connected = true;
-  const auto call = channel_->call(method("DoGet"), options.headers, options.timeout_us);
-  co_await call->write(std::move(ticket), true);
+  const std::shared_ptr<rpc::ClientCall> made = call("DoGet", options);
+  co_await made->write(std::move(ticket), true);
   std::string problem;
   bool has_schema = false;
-  while (std::optional<std::string> message = co_await call->read()) {
+  while (std::optional<std::string> message = co_await made->read()) {
     flight::FlightData data;
     if (!problem.empty()) continue;
     try {
@@ -80,10 +97,10 @@
       else out.batches.push_back(std::move(batch));
     } catch (const arrowipc::FormatError& e) {
       problem = e.what();
-      call->cancel();
+      made->cancel();
     }
   }
-  const rpc::CallEnd end = co_await call->finish();
+  const rpc::CallEnd end = co_await made->finish();
   read_end(end, out);
   if (!problem.empty()) {
     out.verdict = carrier::Verdict::kFailed;
@@ -120,16 +137,16 @@
   command.set_query(std::move(statement));
   flight::FlightData data;
   *data.mutable_flight_descriptor() = descriptor_of(command);
-  const auto call = channel_->call(method("DoPut"), options.headers, options.timeout_us);
+  const std::shared_ptr<rpc::ClientCall> made = call("DoPut", options);
   std::string bytes = data.SerializeAsString();
-  co_await call->write(std::move(bytes), true);
-  while (const std::optional<std::string> message = co_await call->read()) {
+  co_await made->write(std::move(bytes), true);
+  while (const std::optional<std::string> message = co_await made->read()) {
     flight::PutResult put;
     fsql::DoPutUpdateResult result;
     if (put.ParseFromString(*message) && result.ParseFromString(put.app_metadata()))
       out.updated = result.record_count();
   }
-  const rpc::CallEnd end = co_await call->finish();
+  const rpc::CallEnd end = co_await made->finish();
   read_end(end, out);
   co_return out;
 }
@@ -144,14 +161,14 @@
   flight::Action action;
   action.set_type(std::move(type));
   action.set_body(std::move(body));
-  const auto call = channel_->call(method("DoAction"), options.headers, options.timeout_us);
+  const std::shared_ptr<rpc::ClientCall> made = call("DoAction", options);
   std::string bytes = action.SerializeAsString();
-  co_await call->write(std::move(bytes), true);
-  while (const std::optional<std::string> message = co_await call->read()) {
+  co_await made->write(std::move(bytes), true);
+  while (const std::optional<std::string> message = co_await made->read()) {
     flight::Result result;
     if (result.ParseFromString(*message)) out.bodies.push_back(result.body());
   }
-  const rpc::CallEnd end = co_await call->finish();
+  const rpc::CallEnd end = co_await made->finish();
   out.status = end.status;
   co_return out;
 }
--- a/src/flightsql/client.h
+++ b/src/flightsql/client.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <vector>
 
@@ -12,10 +13,24 @@
 
 namespace sablelink::flightsql {
 
+// Breaks calls off from outside, as a client does that goes away. May be used from any thread.
+class Canceller {
+ public:
+  void cancel_all();
+
+ private:
+  friend class Client;
+  void add(const std::shared_ptr<rpc::ClientCall>& call);
+
+  std::mutex mutex_;
+  std::vector<std::weak_ptr<rpc::ClientCall>> calls_;
+};
+
 struct ClientOptions {
   TimeUs timeout_us = 0;  // the client's patience; 0: none
   rpc::Metadata headers;
   TimeUs dial_timeout_us = 2'000'000;
+  std::shared_ptr<Canceller> cancel;  // may be none
 };
 
 struct QueryResult {
@@ -61,6 +76,8 @@
   rpc::Channel& channel() { return *channel_; }
 
  private:
+  std::shared_ptr<rpc::ClientCall> call(std::string_view method, const ClientOptions& options);
+
   std::unique_ptr<rpc::Channel> channel_;
 };
 
