--- /dev/null
+++ b/src/badday/process.h
@@ -0,0 +1,35 @@
+// Child processes of the bad day: this same program as a gateway or a node.
+#pragma once
+
+#include <sys/types.h>
+
+#include <string>
+#include <vector>
+
+#include "gateway.h"
+
+namespace sablelink::badday {
+
+class Process {
+ public:
+  // Starts the program with the arguments; its standard error is appended to the log file. Throws
+  // std::runtime_error.
+  Process(const std::string& program, const std::vector<std::string>& arguments, const std::string& log);
+  ~Process();  // kills it
+  Process(const Process&) = delete;
+  Process& operator=(const Process&) = delete;
+
+  // Waits until it has said "ready"; false where it ended or the time is up.
+  bool wait_ready(TimeUs within);
+  void signal(int number);
+  // Waits for its end; false where the time is up. status gets what waitpid tells.
+  bool wait_end(TimeUs within, int* status = nullptr);
+  void kill();
+
+ private:
+  pid_t pid_ = -1;
+  int out_ = -1;
+  bool ended_ = false;
+};
+
+}  // namespace sablelink::badday
--- /dev/null
+++ b/src/badday/script.cpp
@@ -0,0 +1,150 @@
+#include "badday/script.h"
+
+#include <algorithm>
+
+namespace sablelink::badday {
+namespace {
+
+using config::Section;
+
+Traffic read_traffic(Section& s, const config::GatewayConfig& gateway) {
+  Traffic t;
+  t.cls = s.text("class");
+  const auto& names = gateway.class_names;
+  if (std::find(names.begin(), names.end(), t.cls) == names.end()) s.fail("class", "'" + t.cls + "' isn't configured");
+  t.share = s.number("share", 0, 1);
+  t.work_us = static_cast<double>(s.time("work"));
+  t.spread = s.number("spread", 0, 3, t.spread);
+  t.threads = s.number("threads", 0.1, 100, 1);
+  t.memory_mb = s.number("memory_mb", 0, 1e6, t.memory_mb);
+  t.rows = s.integer("rows", 0, 10'000'000, t.rows);
+  t.update = s.flag("update", false);
+  t.keys = static_cast<int>(s.integer("keys", 0, 1'000'000, 0));
+  t.leaves = s.number("leaves", 0, 1, 0);
+  t.tries = static_cast<int>(s.integer("tries", 1, 10, 1));
+  s.finish();
+  return t;
+}
+
+Event read_event(Section& s, const Script& script) {
+  using Kind = Event::Kind;
+  Event e;
+  e.kind = s.word<Kind>("kind",
+                        {{"deploy", Kind::kDeploy},
+                         {"kill_node", Kind::kKillNode},
+                         {"kill_gateway", Kind::kKillGateway},
+                         {"burst", Kind::kBurst},
+                         {"fault", Kind::kFault}},
+                        std::nullopt);
+  e.at = s.time("at");
+  if (e.kind != Kind::kDeploy) e.for_us = s.time("for");
+  if (e.kind == Kind::kDeploy || e.kind == Kind::kKillNode || e.kind == Kind::kFault) {
+    for (const std::string& number : s.texts("nodes")) {
+      const int n = std::atoi(number.c_str());
+      if (n < 0 || n >= script.nodes) s.fail("nodes", "there is no node '" + number + "'");
+      e.nodes.push_back(n);
+    }
+    if (e.nodes.empty()) s.fail("nodes", "names none");
+  }
+  if (e.kind == Kind::kKillGateway) e.gateway = static_cast<int>(s.integer("gateway", 0, script.gateways - 1));
+  if (e.kind == Kind::kDeploy) {
+    e.batch = static_cast<int>(s.integer("batch", 1, 100, 1));
+    e.drain_us = s.time("drain", 1'000'000);
+  }
+  if (e.kind == Kind::kBurst || e.kind == Kind::kFault) e.value = s.number("value", 0, 1000, 1);
+  if (e.kind == Kind::kFault) {
+    e.fault = s.word<nodes::FaultKind>("fault",
+                                       {{"hang", nodes::FaultKind::kHang},
+                                        {"errors", nodes::FaultKind::kErrors},
+                                        {"lost_answers", nodes::FaultKind::kLostAnswers},
+                                        {"slow", nodes::FaultKind::kSlow},
+                                        {"stale_reports", nodes::FaultKind::kStaleReports},
+                                        {"refuse", nodes::FaultKind::kRefuse}},
+                                       std::nullopt);
+  }
+  s.finish();
+  return e;
+}
+
+const char* fault_name(nodes::FaultKind kind) {
+  switch (kind) {
+    case nodes::FaultKind::kHang:
+      return "hang";
+    case nodes::FaultKind::kErrors:
+      return "errors";
+    case nodes::FaultKind::kLostAnswers:
+      return "lost_answers";
+    case nodes::FaultKind::kSlow:
+      return "slow";
+    case nodes::FaultKind::kStaleReports:
+      return "stale_reports";
+    case nodes::FaultKind::kRefuse:
+      return "refuse";
+  }
+  return "";
+}
+
+std::string us(TimeUs value) { return "\"" + std::to_string(value) + "us\""; }
+
+}  // namespace
+
+Script parse_script(std::string_view text, const std::string& file) {
+  Section root = Section::parse(text, file);
+  Script out;
+  Section day = root.table("day");
+  out.length_us = day.time("length", out.length_us);
+  out.gateways = static_cast<int>(day.integer("gateways", 1, 100, out.gateways));
+  out.nodes = static_cast<int>(day.integer("nodes", 1, 1000, out.nodes));
+  out.zones = static_cast<int>(day.integer("zones", 1, 100, 1));
+  out.rate = day.number("rate", 0.1, 1e6, out.rate);
+  out.seed = day.integer("seed", 0, INT64_MAX, 1);
+  day.finish();
+  out.gateway_template = root.text("gateway_config");
+  out.node_template = root.text("node_config");
+  out.gateway = config::parse_gateway_config(out.gateway_template, file + " (gateway_config)");
+  out.node = nodes::parse_node_config("[node]\nname = \"n\"\nlisten = \"l:0\"\n" + out.node_template,
+                                      file + " (node_config)");
+  double shares = 0;
+  for (Section& s : root.tables("traffic")) {
+    out.traffic.push_back(read_traffic(s, out.gateway));
+    shares += out.traffic.back().share;
+  }
+  if (shares < 0.999 || shares > 1.001) root.fail("traffic", "the shares must add up to 1");
+  for (Section& s : root.tables("event")) out.events.push_back(read_event(s, out));
+  std::stable_sort(out.events.begin(), out.events.end(), [](const Event& a, const Event& b) { return a.at < b.at; });
+  root.finish();
+  return out;
+}
+
+std::string gateway_toml(const Script& script, int index, const std::string& listen,
+                         const std::vector<config::NodeConfig>& nodes) {
+  std::string out = "[gateway]\nname = \"g" + std::to_string(index) + "\"\nlisten = \"" + listen +
+                    "\"\ninstances = " + std::to_string(script.gateways) + "\nindex = " + std::to_string(index) + "\n";
+  if (!script.gateway.zone_names.empty())
+    out += "zone = \"" + script.gateway.zone_names[index % script.gateway.zone_names.size()] + "\"\n";
+  out += script.gateway_template;
+  for (const config::NodeConfig& n : nodes) {
+    out += "\n[[node]]\nname = \"" + n.name + "\"\naddress = \"" + n.address + "\"\nstarted_us = " +
+           std::to_string(n.started_us) + "\nstate = \"" +
+           (n.state == EngineState::kDraining ? "draining" : "ready") + "\"\n";
+    if (!script.gateway.zone_names.empty()) out += "zone = \"" + script.gateway.zone_names[n.zone] + "\"\n";
+  }
+  return out;
+}
+
+std::string node_toml(const Script& script, const config::NodeConfig& node, const std::string& record,
+                      bool with_faults) {
+  std::string out = "[node]\nname = \"" + node.name + "\"\nlisten = \"" + node.address + "\"\nrecord = \"" + record +
+                    "\"\n" + script.node_template;
+  for (const Event& e : script.events) {
+    if (!with_faults || e.kind != Event::Kind::kFault) continue;
+    for (const int n : e.nodes) {
+      if ("n" + std::to_string(n) != node.name) continue;
+      out += "\n[[fault]]\nkind = \"" + std::string(fault_name(e.fault)) + "\"\nfrom = " + us(e.at) +
+             "\nfor = " + us(e.for_us) + "\nvalue = " + std::to_string(e.value) + "\n";
+    }
+  }
+  return out;
+}
+
+}  // namespace sablelink::badday
--- /dev/null
+++ b/src/cli/badday.cpp
@@ -0,0 +1,41 @@
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+
+#include "badday/day.h"
+#include "badday_script.h"
+#include "cli/commands.h"
+
+namespace sablelink::cli {
+
+int run_badday(const BadDayOptions& options, const service::System& system) {
+  badday::Script script = options.script.empty()
+                              ? badday::parse_script(kBadDayScript, "built-in script")
+                              : badday::parse_script(read_file(options.script), options.script);
+  if (options.length_s > 0) script.length_us = std::min(script.length_us, static_cast<TimeUs>(options.length_s * 1e6));
+  std::erase_if(script.events, [&](const badday::Event& e) { return e.at >= script.length_us; });
+  const bool temporary = options.report.empty();
+  const std::filesystem::path folder =
+      temporary ? std::filesystem::temp_directory_path() / ("sablelink-badday-" + std::to_string(system.random()))
+                : std::filesystem::path(options.report);
+  std::filesystem::create_directories(folder);
+  for (int i = 0; i < script.nodes; ++i)  // records of an earlier day would be taken for this one's
+    std::filesystem::remove(folder / ("n" + std::to_string(i) + ".rec"));
+  std::printf("a bad day of %.0f s: %d gateways, %d stand-in nodes, about %.0f queries; records in %s\n",
+              script.length_us / 1e6, script.gateways, script.nodes, script.rate * script.length_us / 1e6,
+              folder.c_str());
+  std::fflush(stdout);
+  const badday::DayOptions day{std::filesystem::read_symlink("/proc/self/exe"), folder};
+  const badday::DayResult result = badday::run_day(script, day, system);
+  const std::string text = audit::render(result.settings, result.report);
+  std::ofstream(folder / "report.txt") << text;
+  std::fputs(text.c_str(), stdout);
+  if (!result.trouble.empty()) {
+    std::fprintf(stderr, "sablelink: the day itself went wrong: %s\n", result.trouble.c_str());
+    return kUsage;
+  }
+  if (temporary && result.report.clean()) std::filesystem::remove_all(folder);
+  return result.report.clean() ? kServed : kFailed;
+}
+
+}  // namespace sablelink::cli
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -50,12 +50,20 @@
   query->add_flag("--update", query_options.update, "Run as an update, with a count as answer");
   query->footer("Exit codes: 0 served, 3 refused (trying again is harmless), 4 failed, 1 wrong usage");
 
+  auto* const badday = app.add_subcommand("badday", "Run a scripted bad day and audit it from the sockets");
+  cli::BadDayOptions day_options;
+  badday->add_option("--script", day_options.script, "Another script than the built-in one");
+  badday->add_option("--report", day_options.report, "Folder for the report, records, logs and configurations");
+  badday->add_option("--length", day_options.length_s, "End the day after so many seconds");
+  badday->footer("Exit codes: 0 all rules kept, 4 a rule broke, 1 the day itself went wrong");
+
   CLI11_PARSE(app, argc, argv);
   try {
     if (*up) return cli::run_up(up_options, system);
     if (*gateway) return cli::run_gateway(config, system);
     if (*node) return cli::run_node(config, system);
     if (*check) return cli::run_config_check(config);
+    if (*badday) return cli::run_badday(day_options, system);
     if (*query) return cli::run_query(query_options, system);
   } catch (const std::exception& e) {
     std::fprintf(stderr, "sablelink: %s\n", e.what());
--- a/src/config/gateway_config.cpp
+++ b/src/config/gateway_config.cpp
@@ -62,6 +62,7 @@
   f.prepared = s.integer("prepared", 1, 10'000'000, f.prepared);
   f.prepared_bytes = s.bytes("prepared_bytes", f.prepared_bytes);
   f.prepared_idle_us = s.time("prepared_idle", f.prepared_idle_us);
+  f.answer_margin_us = s.time("answer_margin", f.answer_margin_us);
   f.dial_timeout_us = s.time("dial_timeout", f.dial_timeout_us);
   f.stop_grace_us = s.time("stop_grace", f.stop_grace_us);
   f.node_connections = s.integer("node_connections", 1, 64, f.node_connections);
--- a/src/config/gateway_config.h
+++ b/src/config/gateway_config.h
@@ -31,6 +31,7 @@
   size_t prepared = 10'000;               // prepared statements, all clients together
   size_t prepared_bytes = 64u << 20;      // their texts and bound values
   TimeUs prepared_idle_us = 600'000'000;  // one not used for this long may be forgotten
+  TimeUs answer_margin_us = 25'000;       // kept of a client's time for the answer's way back
   TimeUs dial_timeout_us = 250'000;       // a node without a connection by then can't be reached
   TimeUs stop_grace_us = 30'000'000;      // after a signal to stop, requests have this long to end
   size_t node_connections = 1;            // to each node; a connection carries many requests
--- a/src/flightsql/client.cpp
+++ b/src/flightsql/client.cpp
@@ -15,6 +15,7 @@
 
 void read_end(const rpc::CallEnd& end, QueryResult& out) {
   out.status = end.status;
+  out.from_gateway = end.status.ok() || !end.trailers.empty();
   const std::string_view verdict = rpc::find_value(end.trailers, kVerdictKey);
   if (verdict == "served" || (verdict.empty() && end.status.ok())) out.verdict = carrier::Verdict::kServed;
   else if (verdict == "refused" || (verdict.empty() && end.status.code == Code::kUnavailable))
--- a/src/flightsql/client.h
+++ b/src/flightsql/client.h
@@ -35,6 +35,7 @@
 
 struct QueryResult {
   bool connected = false;
+  bool from_gateway = false;  // the answer came from the gateway; else this side made the status up
   rpc::Status status;
   // As the gateway's trailers tell; where it sent none, from the status: UNAVAILABLE is a refusal.
   carrier::Verdict verdict = carrier::Verdict::kFailed;
--- a/src/flightsql/front.cpp
+++ b/src/flightsql/front.cpp
@@ -296,7 +296,8 @@
   query.need_mb = chosen.need_mb;
   query.client_repeat = repeat;
   query.write = update || info.writes;
-  query.due_us = now + call->allowed().value_or(classes_[chosen.cls].deadline_us);
+  query.due_us = now + (call->allowed() ? due_after(*call->allowed(), limits_.answer_margin_us)
+                                        : classes_[chosen.cls].deadline_us);
 
   auto statement = std::make_shared<carrier::Statement>();
   statement->text = std::move(text);
--- a/src/flightsql/terms.cpp
+++ b/src/flightsql/terms.cpp
@@ -1,5 +1,6 @@
 #include "flightsql/terms.h"
 
+#include <algorithm>
 #include <cmath>
 
 #include "orca.pb.h"
@@ -70,6 +71,8 @@
   return out.SerializeAsString();
 }
 
+TimeUs due_after(TimeUs patience_us, TimeUs margin_us) { return std::max(patience_us - margin_us, patience_us / 2); }
+
 rpc::Status make_error(Code code, std::string message) { return {code, std::move(message), ""}; }
 
 rpc::Status make_error(Code code, std::string message, std::string_view domain, std::string_view reason,
--- a/src/flightsql/terms.h
+++ b/src/flightsql/terms.h
@@ -47,6 +47,10 @@
 NodeReport decode_report(std::string_view bytes);
 std::string encode_report(const NodeReport& report);
 
+// When a request that came now must have its answer on the way: the client's patience less the margin that the
+// way back takes, but never less than half of it.
+TimeUs due_after(TimeUs patience_us, TimeUs margin_us);
+
 rpc::Status make_error(rpc::Code code, std::string message);
 // With an ErrorInfo of the domain and reason, and a RetryInfo where the time is over 0.
 rpc::Status make_error(rpc::Code code, std::string message, std::string_view domain, std::string_view reason,
--- a/src/nodes/record_file.cpp
+++ b/src/nodes/record_file.cpp
@@ -1,70 +1,64 @@
 #include "nodes/record_file.h"
 
-#include <stdexcept>
-
-namespace sablelink::nodes {
-
-const char* kind_name(NodeEvent::Kind kind) {
-  switch (kind) {
-    case NodeEvent::Kind::kStarted:
-      return "started";
-    case NodeEvent::Kind::kArrived:
-      return "arrived";
-    case NodeEvent::Kind::kEnded:
-      return "ended";
-    case NodeEvent::Kind::kFell:
-      return "fell";
-  }
-  return "";
-}
+#include <fcntl.h>
+#include <google/protobuf/util/delimited_message_util.h>
+#include <unistd.h>
 
-const char* end_name(NodeEvent::End end) {
-  switch (end) {
-    case NodeEvent::End::kAnswered:
-      return "answered";
-    case NodeEvent::End::kError:
-      return "error";
-    case NodeEvent::End::kRefused:
-      return "refused";
-    case NodeEvent::End::kCancelled:
-      return "cancelled";
-    case NodeEvent::End::kBroken:
-      return "broken";
-  }
-  return "";
-}
-
-RecordFile::RecordFile(const std::string& path) : file_(std::fopen(path.c_str(), "a")) {
-  if (file_ == nullptr) throw std::runtime_error("record " + path + " can't be written");
-}
+#include <fstream>
+#include <stdexcept>
 
-RecordFile::~RecordFile() { std::fclose(file_); }
+#include "sablelink.pb.h"
 
-namespace {
+namespace sablelink::nodes {
 
-// Names come from headers, so quotes and signs that JSON minds are put aside.
-std::string plain(const std::string& text) {
-  std::string out;
-  for (const char c : text)
-    out += (c == '"' || c == '\\' || static_cast<unsigned char>(c) < 0x20) ? '?' : c;
-  return out;
+RecordFile::RecordFile(const std::string& path)
+    : file_(::open(path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644)) {
+  if (file_ < 0) throw std::runtime_error("record " + path + " can't be written");
 }
 
-}  // namespace
+RecordFile::~RecordFile() { ::close(file_); }
 
 void RecordFile::record(const NodeEvent& e) {
+  wire::NodeRecord r;
+  r.set_kind(static_cast<wire::NodeRecord::Kind>(e.kind));
+  r.set_at_us(e.at);
+  r.set_node(e.node);
+  r.set_request(e.request);
+  r.set_tag(e.tag);
+  r.set_attempt(e.attempt);
+  r.set_update(e.update);
+  r.set_ran(e.ran);
+  r.set_done(e.done);
+  r.set_work_us(e.work_us);
+  r.set_end(static_cast<wire::NodeRecord::End>(e.end));
   const std::lock_guard lock(mutex_);
-  std::fprintf(file_, "{\"event\":\"%s\",\"at\":%lld,\"node\":\"%s\"", kind_name(e.kind),
-               static_cast<long long>(e.at), plain(e.node).c_str());
-  if (e.kind != NodeEvent::Kind::kStarted)
-    std::fprintf(file_,
-                 ",\"request\":\"%s\",\"tag\":\"%s\",\"attempt\":%d,\"update\":%s,\"work_us\":%.0f",
-                 plain(e.request).c_str(), plain(e.tag).c_str(), e.attempt, e.update ? "true" : "false", e.work_us);
-  if (e.kind == NodeEvent::Kind::kEnded)
-    std::fprintf(file_, ",\"end\":\"%s\",\"ran\":%s,\"done\":%s", end_name(e.end), e.ran ? "true" : "false",
-                 e.done ? "true" : "false");
-  std::fputs("}\n", file_);
-  std::fflush(file_);
+  google::protobuf::util::SerializeDelimitedToFileDescriptor(r, file_);
+}
+
+std::vector<NodeEvent> read_records(const std::string& path) {
+  std::ifstream in(path, std::ios::binary);
+  if (!in) throw std::runtime_error("record " + path + " can't be read");
+  google::protobuf::io::IstreamInputStream stream(&in);
+  std::vector<NodeEvent> events;
+  wire::NodeRecord r;
+  for (bool end = false;;) {
+    r.Clear();
+    if (!google::protobuf::util::ParseDelimitedFromZeroCopyStream(&r, &stream, &end)) break;
+    NodeEvent e;
+    e.kind = static_cast<NodeEvent::Kind>(r.kind());
+    e.at = r.at_us();
+    e.node = r.node();
+    e.request = r.request();
+    e.tag = r.tag();
+    e.attempt = r.attempt();
+    e.update = r.update();
+    e.ran = r.ran();
+    e.done = r.done();
+    e.work_us = r.work_us();
+    e.end = static_cast<NodeEvent::End>(r.end());
+    events.push_back(std::move(e));
+  }
+  return events;
 }
 
 }  // namespace sablelink::nodes
--- a/src/nodes/record_file.h
+++ b/src/nodes/record_file.h
@@ -1,9 +1,11 @@
-// Records as JSON lines in a file, each written out at once, so that a killed process loses none.
+// Records in a file: NodeRecord messages (proto/sablelink.proto), each behind its length, each written out at
+// once, so that a killed process loses none but the one it was writing.
 #pragma once
 
-#include <cstdio>
+#include <memory>
 #include <mutex>
 #include <string>
+#include <vector>
 
 #include "nodes/recorder.h"
 
@@ -14,16 +16,14 @@
   // Appends. Throws std::runtime_error where the file can't be opened.
   explicit RecordFile(const std::string& path);
   ~RecordFile() override;
-  RecordFile(const RecordFile&) = delete;
-  RecordFile& operator=(const RecordFile&) = delete;
   void record(const NodeEvent& event) override;
 
  private:
   std::mutex mutex_;
-  std::FILE* file_;
+  int file_;
 };
 
-const char* kind_name(NodeEvent::Kind kind);
-const char* end_name(NodeEvent::End end);
+// All records of a file; one cut off at its end is left out. Throws std::runtime_error where there is no file.
+std::vector<NodeEvent> read_records(const std::string& path);
 
 }  // namespace sablelink::nodes
--- a/src/rpc/grpc_server.cpp
+++ b/src/rpc/grpc_server.cpp
@@ -63,7 +63,9 @@
     const auto deadline = context.deadline();
     if (deadline != std::chrono::system_clock::time_point::max()) {
       const auto left = std::chrono::duration_cast<std::chrono::microseconds>(deadline - wall()).count();
-      allowed_ = std::max<TimeUs>(left, 0);
+      // gRPC's own clients round a timeout up to two or three digits before they send it, by up to 1%; they
+      // themselves wait for no longer than was asked.
+      allowed_ = std::max<TimeUs>(left - left / 100, 0);
     }
   }
 
--- a/src/rpc/rpc.h
+++ b/src/rpc/rpc.h
@@ -63,7 +63,8 @@
   virtual const std::string& method() const = 0;  // "/package.Service/Method"
   virtual const Metadata& metadata() const = 0;
   virtual const std::string& peer() const = 0;              // the client's connection
-  virtual std::optional<TimeUs> allowed() const = 0;        // the client's patience when the call came
+  // How long the client is sure to wait, from when the call came; none where it waits without end.
+  virtual std::optional<TimeUs> allowed() const = 0;
   virtual Awaitable<std::optional<std::string>> read() = 0;  // none: the client has ended its stream, or left
   virtual Awaitable<bool> write(std::string message) = 0;    // false: the call is broken
   // Ends the call, with a last message where given; false: the end may not have reached the client.
--- a/tests/flightsql_test.cpp
+++ b/tests/flightsql_test.cpp
@@ -152,6 +152,12 @@
   EXPECT_FALSE(map_call_end(ended(Code::kInternal, true)).statement_fault);
 }
 
+TEST(FinalAnswers, LeaveBeforeTheClientsTimeIsUp) {
+  EXPECT_EQ(due_after(1'000'000, 25'000), 975'000);
+  EXPECT_EQ(due_after(30'000, 25'000), 15'000);
+  EXPECT_EQ(due_after(0, 25'000), 0);
+}
+
 TEST(FinalAnswers, PromiseOnlyWhatIsTrue) {
   carrier::FinalAnswer refused{Verdict::kRefused, Reason::kDecided, 250'500, 1, {}};
   const ClientEnd r = map_final_answer(refused);
--- a/tests/loopback_test.cpp
+++ b/tests/loopback_test.cpp
@@ -855,6 +855,29 @@
   EXPECT_EQ(send("SELECT 1", "after", options(5 * kSecond)).get().verdict, Verdict::kServed);
 }
 
+// gRPC rounds a client's timeout up on the wire; an answer that counts on the rounded time comes too late.
+TEST_F(Loopback, AGatewayNeverCountsOnMoreTimeThanItsClientHas) {
+  const auto strand = threads_->strand();
+  std::vector<TimeUs> seen;
+  auto handler = [&seen](std::shared_ptr<rpc::ServerCall> call) -> rpc::Awaitable<void> {
+    seen.push_back(call->allowed().value_or(-1));
+    rpc::Status status;
+    rpc::Metadata trailers;
+    std::optional<std::string> last;
+    co_await call->finish(std::move(status), std::move(trailers), std::move(last));
+  };
+  rpc::GrpcServerOptions server_options;
+  server_options.address = "127.0.0.1:0";
+  rpc::GrpcServer server(server_options, strand, handler, system_.wall);
+  client_ = std::make_unique<Client>(channels_->open("127.0.0.1:" + std::to_string(server.port())));
+  const std::vector<TimeUs> allowed = {123'400, 1'001'000, 2'401'000, 9'991'000, 12'301'000, 100'001'000};
+  for (const TimeUs us : allowed) spawn(client_->ask("SELECT 1", options(us))).get();
+  ASSERT_EQ(seen.size(), allowed.size());
+  for (size_t i = 0; i < seen.size(); ++i) EXPECT_LE(seen[i], allowed[i]);
+  spawn(client_->ask("SELECT 1", options(0))).get();
+  EXPECT_EQ(seen.back(), -1);
+}
+
 TEST_F(Loopback, APortInUseIsAnError) {
   add_node();
   start();
