--- a/src/cli/query.cpp
+++ b/src/cli/query.cpp
@@ -3,6 +3,7 @@
 #include <cinttypes>
 #include <cstdio>
 
+#include "base/json.h"
 #include "cli/commands.h"
 #include "config/section.h"
 #include "flightsql/client.h"
@@ -13,22 +14,7 @@
 
 using arrowipc::Value;
 
-std::string json_text(std::string_view text) {
-  std::string out = "\"";
-  for (const char c : text) {
-    if (c == '"' || c == '\\') {
-      out += '\\';
-      out += c;
-    } else if (static_cast<unsigned char>(c) < 0x20) {
-      char code[8];
-      std::snprintf(code, sizeof(code), "\\u%04x", c);
-      out += code;
-    } else {
-      out += c;
-    }
-  }
-  return out + "\"";
-}
+std::string json_text(std::string_view text) { return "\"" + json_escaped(text) + "\""; }
 
 std::string shown(const Value& value, bool json) {
   if (std::holds_alternative<std::monostate>(value)) return json ? "null" : "";
--- a/src/service/runtime.cpp
+++ b/src/service/runtime.cpp
@@ -5,7 +5,8 @@
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <cstdio>
+
+#include "base/json.h"
 
 namespace sablelink::service {
 namespace asio = boost::asio;
@@ -48,23 +49,6 @@
 
 namespace {
 
-std::string escaped(std::string_view text) {
-  std::string out;
-  for (const char c : text) {
-    if (c == '"' || c == '\\') {
-      out += '\\';
-      out += c;
-    } else if (static_cast<unsigned char>(c) < 0x20) {
-      char code[8];
-      std::snprintf(code, sizeof(code), "\\u%04x", c);
-      out += code;
-    } else {
-      out += c;
-    }
-  }
-  return out;
-}
-
 class JsonLog : public Log {
  public:
   JsonLog(const std::string& concern, const std::string& level)
@@ -79,8 +63,8 @@
   void write(LogLevel level, std::string_view event, LogFields fields) override {
     const auto at = level_of(level);
     if (!logger_.should_log(at)) return;
-    std::string line = "\"event\":\"" + escaped(event) + "\"";
-    for (const auto& [key, value] : fields) line += ",\"" + escaped(key) + "\":\"" + escaped(value) + "\"";
+    std::string line = "\"event\":\"" + json_escaped(event) + "\"";
+    for (const auto& [key, value] : fields) line += ",\"" + json_escaped(key) + "\":\"" + json_escaped(value) + "\"";
     logger_.log(at, spdlog::string_view_t(line.data(), line.size()));
   }
 
