--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -140,8 +140,8 @@
 
 int run_config_check(const std::string& file) {
   const std::string text = read_file(file);
-  // A node's configuration is told by its [node] table.
-  const bool is_node = config::Section::parse(text, file).has("engine");
+  // A node's configuration has a [node], a gateway's has [[node]]s.
+  const bool is_node = config::Section::parse(text, file).has_table("node");
   if (is_node) {
     nodes::parse_node_config(text, file);
   } else {
--- a/src/config/section.cpp
+++ b/src/config/section.cpp
@@ -81,6 +81,8 @@
 
 bool Section::has(std::string_view key) const { return node_->table != nullptr && node_->table->contains(key); }
 
+bool Section::has_table(std::string_view key) const { return has(key) && node_->table->get(key)->is_table(); }
+
 const void* Section::find(std::string_view key) {
   used_.emplace(key);
   return node_->table == nullptr ? nullptr : node_->table->get(key);
--- a/src/config/section.h
+++ b/src/config/section.h
@@ -25,6 +25,7 @@
   static Section parse(std::string_view text, const std::string& file);
 
   bool has(std::string_view key) const;
+  bool has_table(std::string_view key) const;  // [key], and not [[key]]
 
   // Each returns fallback where the key is missing; without a fallback that is an error.
   std::string text(std::string_view key, std::optional<std::string> fallback = std::nullopt);
