--- a/tests/interop/flightsql.test.js
+++ b/tests/interop/flightsql.test.js
@@ -161,6 +161,18 @@
   await c.close();
 });
 
+test('up says ready, serves, and ends cleanly on SIGTERM with a query out', async () => {
+  const at = await freePort();
+  const up = await start(['up', '--listen', `127.0.0.1:${at}`]);
+  const c = new FlightSQLClient({ host: '127.0.0.1', port: at, plaintext: true });
+  const held = c.execute('SELECT 1 /*+ work=300ms rows=2 */');
+  await c.execute('SELECT 1');
+  const code = stop(up);
+  assert.strictEqual((await held).numRows, 2);
+  assert.strictEqual(await code, 0);
+  await c.close();
+});
+
 test('the records of the nodes show one attempt at a time and none sent twice', () => {
   const records = [0, 1, 2, 3].map((i) => path.join(folder, `n${i}.rec`));
   const found = spawnSync(program, ['audit', ...records], { encoding: 'utf8' });
