Clean-up of the program: dead seams out, twins made one

Taken out as never used: NodeTransport::pause, max_calls_per_connection, Section::maybe_text, two leftovers of the stand-in. Made one: refuse and fail of the carrier, the words of faults (were three lists), the look-up of prepared statements and the refusal of transactions in the front. A stale comment mended.

--- a/src/badday/script.cpp
+++ b/src/badday/script.cpp
@@ -55,35 +55,15 @@
   }
   if (e.kind == Kind::kBurst || e.kind == Kind::kFault) e.value = s.number("value", 0, 1000, 1);
   if (e.kind == Kind::kFault) {
-    e.fault = s.word<nodes::FaultKind>("fault",
-                                       {{"hang", nodes::FaultKind::kHang},
-                                        {"errors", nodes::FaultKind::kErrors},
-                                        {"lost_answers", nodes::FaultKind::kLostAnswers},
-                                        {"slow", nodes::FaultKind::kSlow},
-                                        {"stale_reports", nodes::FaultKind::kStaleReports},
-                                        {"refuse", nodes::FaultKind::kRefuse}},
-                                       std::nullopt);
+    e.fault = s.word<nodes::FaultKind>("fault", nodes::fault_words(), std::nullopt);
   }
   s.finish();
   return e;
 }
 
-const char* fault_name(nodes::FaultKind kind) {
-  switch (kind) {
-    case nodes::FaultKind::kHang:
-      return "hang";
-    case nodes::FaultKind::kErrors:
-      return "errors";
-    case nodes::FaultKind::kLostAnswers:
-      return "lost_answers";
-    case nodes::FaultKind::kSlow:
-      return "slow";
-    case nodes::FaultKind::kStaleReports:
-      return "stale_reports";
-    case nodes::FaultKind::kRefuse:
-      return "refuse";
-  }
-  return "";
+const std::string& fault_name(nodes::FaultKind kind) {
+  const auto& words = nodes::fault_words();
+  return std::find_if(words.begin(), words.end(), [kind](const auto& w) { return w.second == kind; })->first;
 }
 
 std::string us(TimeUs value) { return "\"" + std::to_string(value) + "us\""; }
@@ -144,7 +124,7 @@
     if (!with_faults || e.kind != Event::Kind::kFault) continue;
     for (const int n : e.nodes) {
       if ("n" + std::to_string(n) != node.name) continue;
-      out += "\n[[fault]]\nkind = \"" + std::string(fault_name(e.fault)) + "\"\nfrom = " + us(e.at) +
+      out += "\n[[fault]]\nkind = \"" + fault_name(e.fault) + "\"\nfrom = " + us(e.at) +
              "\nfor = " + us(e.for_us) + "\nvalue = " + std::to_string(e.value) + "\n";
     }
   }
--- a/src/carrier/carrier.cpp
+++ b/src/carrier/carrier.cpp
@@ -348,8 +348,7 @@
   check_idle();
 }
 
-// ---- Actions
-// -----------------------------------------------------------------------------------------------
+// ---- Actions -------------------------------------------------------------------------------------------
 
 // Holds for the request's next sends. The module sets terms only before a send, so none is out that would
 // have to hear of it.
@@ -405,19 +404,14 @@
   late_ends_.push_back({id, attempt, found->engine, Outcome::kCancelled});
 }
 
-void Carrier::refuse(RequestId id, TimeUs retry_after_us) {
-  Request* const request = find(id);
-  if (request == nullptr || !request->sink) return;
-  answer(id, *request,
-         {Verdict::kRefused, Reason::kDecided, retry_after_us, request->attempts, request->last_error});
-  if (request->out.empty()) forget_if_over(id);
-}
+void Carrier::refuse(RequestId id, TimeUs retry_after_us) { decide(id, Verdict::kRefused, retry_after_us); }
+void Carrier::fail(RequestId id) { decide(id, Verdict::kFailed, 0); }
 
-void Carrier::fail(RequestId id) {
+void Carrier::decide(RequestId id, Verdict verdict, TimeUs retry_after_us) {
   Request* const request = find(id);
   if (request == nullptr || !request->sink) return;
-  answer(id, *request, {Verdict::kFailed, Reason::kDecided, 0, request->attempts, request->last_error});
-  if (request->out.empty()) forget_if_over(id);
+  answer(id, *request, {verdict, Reason::kDecided, retry_after_us, request->attempts, request->last_error});
+  forget_if_over(id);
 }
 
 void Carrier::set_timer(TimeUs delay_us, uint32_t token) {
@@ -464,8 +458,7 @@
 
 void Carrier::log(std::string_view line) { log_.info("decision", {{"line", std::string(line)}}); }
 
-// ---- Times
-// -------------------------------------------------------------------------------------------------
+// ---- Times ---------------------------------------------------------------------------------------------
 
 void Carrier::watch(WatchItem item) {
   watches_.insert(item);
--- a/src/carrier/carrier.h
+++ b/src/carrier/carrier.h
@@ -102,7 +102,7 @@
     int priority = 1;
     double grant_mb = 0;
     int attempts = 0;      // sent so far
-    bool watched = false;  // its due time stands in due_
+    bool watched = false;  // its due time stands in watches_
     std::vector<Attempt> out;
     NodeError last_error;
   };
@@ -142,6 +142,7 @@
   Request* find(RequestId id);
   Attempt* find(AttemptKey key, Request** request = nullptr);
   void answer(RequestId id, Request& request, FinalAnswer answer);
+  void decide(RequestId id, Verdict verdict, TimeUs retry_after_us);
   void end_attempt(AttemptKey key, AttemptResult result);
   void start_stream(AttemptKey key, Request& request, Attempt& attempt);
   void release(Attempt& attempt);
--- a/src/carrier/ports.h
+++ b/src/carrier/ports.h
@@ -56,8 +56,7 @@
   virtual void start(AttemptKey key, EngineId engine, const AttemptOrder& order) = 0;
   // Forgets the attempt and tells the node to stop it.
   virtual void drop(AttemptKey key) = 0;
-  // Stops reading the attempt's answer, and goes on.
-  virtual void pause(AttemptKey key) = 0;
+  // Reads on in an answer of which Carrier::attempt_message wanted no more.
   virtual void resume(AttemptKey key) = 0;
   virtual void probe(uint32_t probe, EngineId engine) = 0;
   virtual void close_idle(EngineId engine) = 0;
--- a/src/config/section.cpp
+++ b/src/config/section.cpp
@@ -117,11 +117,6 @@
   return node->as_string()->get();
 }
 
-std::optional<std::string> Section::maybe_text(std::string_view key) {
-  if (!has(key)) return std::nullopt;
-  return text(key);
-}
-
 int64_t Section::integer(std::string_view key, int64_t low, int64_t high, std::optional<int64_t> fallback) {
   SABLELINK_FIND(key, fallback)
   if (!node->is_integer()) fail(key, std::string("must be an integer, not ") + type_of(*node));
--- a/src/config/section.h
+++ b/src/config/section.h
@@ -39,7 +39,6 @@
   size_t bytes(std::string_view key, std::optional<size_t> fallback = std::nullopt);
   std::vector<std::string> texts(std::string_view key);
   std::map<std::string, std::string> pairs(std::string_view key);  // a table of texts
-  std::optional<std::string> maybe_text(std::string_view key);
 
   template <typename T>
   T word(std::string_view key, const std::vector<std::pair<std::string, T>>& words,
--- a/src/flightsql/front.cpp
+++ b/src/flightsql/front.cpp
@@ -47,6 +47,12 @@
   return command;
 }
 
+template <typename Command>
+void no_transaction(const Command& command) {
+  if (command.has_transaction_id() && !command.transaction_id().empty())
+    throw CallError(Code::kUnimplemented, "transactions are not served");
+}
+
 // The user of "authorization: Basic ..."; nothing is checked, as the network is trusted.
 std::string user_of(const rpc::Metadata& metadata) {
   const std::string_view value = rpc::find_value(metadata, "authorization");
@@ -188,12 +194,17 @@
   return text;
 }
 
-std::string Front::prepared_statement(const std::string& handle) {
-  const auto found = prepared_.find(clock_.now(), handle);
+PreparedStatements::Found Front::find_prepared(const std::string& handle) {
+  auto found = prepared_.find(clock_.now(), handle);
   if (!found)
     throw CallError(Code::kNotFound, "no such prepared statement; it may have been idle for too long");
+  return *std::move(found);
+}
+
+std::string Front::prepared_statement(const std::string& handle) {
+  const PreparedStatements::Found found = find_prepared(handle);
   try {
-    return checked_statement(sql::substitute(found->statement, found->literals));
+    return checked_statement(sql::substitute(found.statement, found.literals));
   } catch (const std::invalid_argument& e) {
     wrong(e.what());
   }
@@ -202,8 +213,7 @@
 std::string Front::statement_of(const google::protobuf::Any& any) {
   if (any.Is<fsql::CommandStatementQuery>()) {
     auto command = unpack<fsql::CommandStatementQuery>(any);
-    if (command.has_transaction_id() && !command.transaction_id().empty())
-      throw CallError(Code::kUnimplemented, "transactions are not served");
+    no_transaction(command);
     return checked_statement(std::move(*command.mutable_query()));
   }
   if (any.Is<fsql::CommandPreparedStatementQuery>())
@@ -372,8 +382,7 @@
   const auto any = parse_any(data.flight_descriptor().cmd(), "the descriptor's command");
   if (any.Is<fsql::CommandStatementUpdate>()) {
     auto command = unpack<fsql::CommandStatementUpdate>(any);
-    if (command.has_transaction_id() && !command.transaction_id().empty())
-      throw CallError(Code::kUnimplemented, "transactions are not served");
+    no_transaction(command);
     Ran ran = co_await run(call, checked_statement(std::move(*command.mutable_query())), true, 0, false);
     co_await finish(call, std::move(ran));
   } else if (any.Is<fsql::CommandPreparedStatementQuery>()) {
@@ -418,11 +427,9 @@
 Awaitable<void> Front::bind(CallPtr call, const std::string& handle, std::string first) {
   std::vector<std::vector<std::string>> rows = co_await read_rows(call, std::move(first));
   if (rows.size() > 1) wrong("a query takes one row of parameters, not " + std::to_string(rows.size()));
-  const auto found = prepared_.find(clock_.now(), handle);
-  if (!found)
-    throw CallError(Code::kNotFound, "no such prepared statement; it may have been idle for too long");
+  const PreparedStatements::Found found = find_prepared(handle);
   std::vector<std::string> row = rows.empty() ? std::vector<std::string>() : std::move(rows[0]);
-  const size_t wanted = sql::count_parameters(found->statement);
+  const size_t wanted = sql::count_parameters(found.statement);
   if (row.size() != wanted)
     wrong("the statement has " + std::to_string(wanted) + " parameters, but " + std::to_string(row.size()) +
           " are bound");
@@ -438,17 +445,15 @@
 
 Awaitable<void> Front::update_prepared(CallPtr call, const std::string& handle, std::string first) {
   std::vector<std::vector<std::string>> rows = co_await read_rows(call, std::move(first));
-  const auto found = prepared_.find(clock_.now(), handle);
-  if (!found)
-    throw CallError(Code::kNotFound, "no such prepared statement; it may have been idle for too long");
-  if (rows.empty()) rows.push_back(found->literals);
+  const PreparedStatements::Found found = find_prepared(handle);
+  if (rows.empty()) rows.push_back(found.literals);
   // Each row is a request of its own; they run in turn, and the first that isn't served ends the call.
   int64_t records = 0;
   Ran ran;
   for (size_t i = 0; i < rows.size(); ++i) {
     std::string text;
     try {
-      text = checked_statement(sql::substitute(found->statement, rows[i]));
+      text = checked_statement(sql::substitute(found.statement, rows[i]));
     } catch (const std::invalid_argument& e) {
       wrong(e.what());
     }
@@ -487,8 +492,7 @@
   if (action.type() == "CreatePreparedStatement") {
     auto request =
         unpack<fsql::ActionCreatePreparedStatementRequest>(parse_any(action.body(), "the action's body"));
-    if (request.has_transaction_id() && !request.transaction_id().empty())
-      throw CallError(Code::kUnimplemented, "transactions are not served");
+    no_transaction(request);
     const auto handle =
         prepared_.create(clock_.now(), checked_statement(std::move(*request.mutable_query())));
     if (!handle)
--- a/src/flightsql/front.h
+++ b/src/flightsql/front.h
@@ -71,6 +71,7 @@
   // The statement of a command that a ticket can be had for; throws CallError.
   std::string statement_of(const google::protobuf::Any& any);
   std::string checked_statement(std::string text) const;
+  PreparedStatements::Found find_prepared(const std::string& handle);  // throws CallError
   std::string prepared_statement(const std::string& handle);
   fsql::ActionCancelQueryResult::CancelResult cancel(const flight::FlightInfo& info);
 
--- a/src/flightsql/node_client.cpp
+++ b/src/flightsql/node_client.cpp
@@ -192,11 +192,6 @@
   task->resumed.give();
 }
 
-void NodeClient::pause(AttemptKey key) {
-  const auto it = running_.find(number_of(key));
-  if (it != running_.end()) it->second->paused = true;
-}
-
 void NodeClient::resume(AttemptKey key) {
   const auto it = running_.find(number_of(key));
   if (it == running_.end()) return;
--- a/src/flightsql/node_client.h
+++ b/src/flightsql/node_client.h
@@ -36,7 +36,6 @@
 
   void start(carrier::AttemptKey key, EngineId engine, const carrier::AttemptOrder& order) override;
   void drop(carrier::AttemptKey key) override;
-  void pause(carrier::AttemptKey key) override;
   void resume(carrier::AttemptKey key) override;
   void probe(uint32_t probe, EngineId engine) override;
   void close_idle(EngineId engine) override;
--- a/src/nodes/node_config.cpp
+++ b/src/nodes/node_config.cpp
@@ -8,6 +8,17 @@
 
 using config::Section;
 
+const std::vector<std::pair<std::string, FaultKind>>& fault_words() {
+  static const std::vector<std::pair<std::string, FaultKind>> kWords = {
+      {"hang", FaultKind::kHang},
+      {"errors", FaultKind::kErrors},
+      {"lost_answers", FaultKind::kLostAnswers},
+      {"slow", FaultKind::kSlow},
+      {"stale_reports", FaultKind::kStaleReports},
+      {"refuse", FaultKind::kRefuse}};
+  return kWords;
+}
+
 NodeConfig parse_node_config(std::string_view text, const std::string& file) {
   Section root = Section::parse(text, file);
   NodeConfig c;
@@ -36,14 +47,7 @@
   s.finish();
   for (Section& f : root.tables("fault")) {
     Fault fault;
-    fault.kind = f.word<FaultKind>("kind",
-                                   {{"hang", FaultKind::kHang},
-                                    {"errors", FaultKind::kErrors},
-                                    {"lost_answers", FaultKind::kLostAnswers},
-                                    {"slow", FaultKind::kSlow},
-                                    {"stale_reports", FaultKind::kStaleReports},
-                                    {"refuse", FaultKind::kRefuse}},
-                                   std::nullopt);
+    fault.kind = f.word<FaultKind>("kind", fault_words(), std::nullopt);
     fault.from_us = f.time("from");
     fault.for_us = f.time("for");
     fault.value = f.number("value", 0.001, 1000, 1);
--- a/src/nodes/node_config.h
+++ b/src/nodes/node_config.h
@@ -3,6 +3,7 @@
 
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "nodes/engine.h"
@@ -18,6 +19,9 @@
   kRefuse,        // admits nothing
 };
 
+// The words that configurations and scripts use for them.
+const std::vector<std::pair<std::string, FaultKind>>& fault_words();
+
 // From a time after the node's start on; share of the requests hit, for those that hit single requests.
 struct Fault {
   FaultKind kind = FaultKind::kHang;
--- a/src/nodes/stand_in.cpp
+++ b/src/nodes/stand_in.cpp
@@ -20,10 +20,6 @@
 
 constexpr int64_t kBatchRows = 1024;
 
-std::string_view header(const rpc::Metadata& metadata, std::string_view key) {
-  return rpc::find_value(metadata, key);
-}
-
 template <typename T>
 T number(std::string_view text, T fallback) {
   T value{};
@@ -69,7 +65,6 @@
   int attempt = 0;
   bool update = false;
   bool ran = false, done = false, cancelled = false;
-  bool ended = false;
   Signal changed;
   std::vector<wire::ProgressNote> notes;
 };
@@ -287,9 +282,9 @@
   job->id = ++last_job_;
   job->call = call;
   job->hint = read_hint(statement);
-  job->request = header(metadata, kRequestKey);
-  job->tag = header(metadata, kClientTagKey);
-  job->attempt = number(header(metadata, kAttemptKey), 0);
+  job->request = rpc::find_value(metadata, kRequestKey);
+  job->tag = rpc::find_value(metadata, kClientTagKey);
+  job->attempt = number(rpc::find_value(metadata, kAttemptKey), 0);
   job->update = update;
   if (job->hint.on_attempt >= 0 && job->hint.on_attempt != job->attempt) job->hint.mishap = Mishap::kNone;
   Mishap mishap = job->hint.mishap;
@@ -338,8 +333,9 @@
     asked.threads = job->hint.threads;
     asked.io = job->hint.io;
     asked.memory_mb = job->hint.memory_mb;
-    asked.priority = std::clamp(number(header(metadata, kPriorityKey), 1), 0, 3);
-    if (config_.heeds_grants) asked.grant_mb = std::max(number(header(metadata, kGrantKey), 0.0), 0.0);
+    asked.priority = std::clamp(number(rpc::find_value(metadata, kPriorityKey), 1), 0, 3);
+    if (config_.heeds_grants)
+      asked.grant_mb = std::max(number(rpc::find_value(metadata, kGrantKey), 0.0), 0.0);
     const sql::StatementInfo info = sql::inspect(statement);
     if (!info.tables.empty())
       asked.group = static_cast<int64_t>(std::hash<std::string>()(info.tables[0]) >> 33);
@@ -353,7 +349,7 @@
       schedule();
       schedule_notes();
     }
-    if (engine_.fallen() && !had_fallen && recorder_ != nullptr) record(*job, NodeEvent::Kind::kFell, end);
+    if (engine_.fallen() && !had_fallen) record(*job, NodeEvent::Kind::kFell, end);
     if (job->ran) {
       if (mishap == Mishap::kReset) {  // in the middle of the work
         const TimeUs half = static_cast<TimeUs>(job->hint.work_us / job->hint.threads / 2);
--- a/src/rpc/grpc_server.cpp
+++ b/src/rpc/grpc_server.cpp
@@ -107,8 +107,6 @@
   builder.SetMaxReceiveMessageSize(options.max_message_bytes);
   builder.SetMaxSendMessageSize(-1);
   builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);  // a port in use is an error, not shared
-  if (options.max_calls_per_connection > 0)
-    builder.AddChannelArgument(GRPC_ARG_MAX_CONCURRENT_STREAMS, options.max_calls_per_connection);
   std::unique_ptr<grpc::ServerCompletionQueue> queue = builder.AddCompletionQueue();
   queue_ = queue.get();
   server_ = builder.BuildAndStart();
--- a/src/rpc/grpc_server.h
+++ b/src/rpc/grpc_server.h
@@ -23,7 +23,6 @@
 struct GrpcServerOptions {
   std::string address;               // "host:port"; port 0 takes any free one
   int max_message_bytes = 16 << 20;  // a larger message ends its call with RESOURCE_EXHAUSTED
-  int max_calls_per_connection = 0;  // further calls of a connection wait in the client; 0: no bound
   int waiting_calls = 64;            // calls that may arrive together without one waiting to be taken
 };
 
--- a/tests/program_harness.h
+++ b/tests/program_harness.h
@@ -48,7 +48,7 @@
     EngineId engine = 0;
     carrier::AttemptOrder order;
     TimeUs at = 0;
-    bool dropped = false, paused = false, ended = false;
+    bool dropped = false, ended = false;
   };
   explicit FakeNodes(const Clock& clock) : clock_(clock) {}
   void start(carrier::AttemptKey key, EngineId engine, const carrier::AttemptOrder& order) override {
@@ -57,13 +57,7 @@
   void drop(carrier::AttemptKey key) override {
     if (Sent* const s = find(key)) s->dropped = true;
   }
-  void pause(carrier::AttemptKey key) override {
-    if (Sent* const s = find(key)) s->paused = true;
-  }
-  void resume(carrier::AttemptKey key) override {
-    ++resumes;
-    if (Sent* const s = find(key)) s->paused = false;
-  }
+  void resume(carrier::AttemptKey) override { ++resumes; }
   void probe(uint32_t probe, EngineId engine) override { probes.emplace_back(probe, engine); }
   void close_idle(EngineId) override {}
 
