--- a/bench/gateway_bench.cpp
+++ b/bench/gateway_bench.cpp
@@ -10,7 +10,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/post.hpp>
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
@@ -57,7 +56,7 @@
 class Load {
  public:
   Load(const service::System& system, const std::string& endpoint, int connections)
-      : threads_(1), strand_(threads_.strand()), clock_(system, strand_), channels_({}, system.wall) {
+      : loop_(system.wall, system.steady), channels_({}, loop_) {
     for (int i = 0; i < connections; ++i)
       clients_.push_back(std::make_unique<Client>(channels_.open(endpoint)));
   }
@@ -68,37 +67,37 @@
     std::mt19937_64 random(3);
     std::exponential_distribution<double> gap(rate / 1e6);
     double at = 0;
-    const TimeUs begin = clock_.now();
+    const TimeUs begin = loop_.now();
     while (at < static_cast<double>(span)) {
       at += gap(random);
       const TimeUs due = begin + static_cast<TimeUs>(at);
       // Sleeping ends some 60 us late, which would be counted as the server's.
-      const TimeUs left = due - clock_.now();
+      const TimeUs left = due - loop_.now();
       if (left > 150) std::this_thread::sleep_for(std::chrono::microseconds(left - 150));
-      while (clock_.now() < due) std::this_thread::yield();
+      while (loop_.now() < due) std::this_thread::yield();
       ++out_;
-      asio::post(strand_, [this, due] { asio::co_spawn(strand_, one(due), asio::detached); });
+      loop_.post([this, due] { asio::co_spawn(loop_.executor(), one(due), asio::detached); });
     }
     while (out_ > 0) std::this_thread::sleep_for(std::chrono::milliseconds(5));
-    return figures(std::move(times_), other_, clock_.now() - begin);
+    return figures(std::move(times_), other_, loop_.now() - begin);
   }
 
   // So many queries are out at all times.
   Figures closed_loop(int width, TimeUs span) {
-    const TimeUs begin = clock_.now();
+    const TimeUs begin = loop_.now();
     until_ = begin + span;
     out_ = width;
-    asio::post(strand_, [this, width] {
-      for (int i = 0; i < width; ++i) asio::co_spawn(strand_, many(), asio::detached);
+    loop_.post([this, width] {
+      for (int i = 0; i < width; ++i) asio::co_spawn(loop_.executor(), many(), asio::detached);
     });
     while (out_ > 0) std::this_thread::sleep_for(std::chrono::milliseconds(5));
-    return figures(std::move(times_), other_, clock_.now() - begin);
+    return figures(std::move(times_), other_, loop_.now() - begin);
   }
 
   // Sends queries that stay open.
   void hold(int count, const std::string& statement) {
-    asio::post(strand_, [this, count, statement] {
-      for (int i = 0; i < count; ++i) asio::co_spawn(strand_, held(statement), asio::detached);
+    loop_.post([this, count, statement] {
+      for (int i = 0; i < count; ++i) asio::co_spawn(loop_.executor(), held(statement), asio::detached);
     });
   }
 
@@ -108,7 +107,7 @@
     --out_;
   }
   rpc::Awaitable<void> many() {
-    while (clock_.now() < until_) co_await query(clock_.now());
+    while (loop_.now() < until_) co_await query(loop_.now());
     --out_;
   }
   rpc::Awaitable<void> query(TimeUs from) {
@@ -118,7 +117,7 @@
     Client& to = *clients_[next_++ % clients_.size()];
     const flightsql::QueryResult r = co_await to.query(std::move(sql), std::move(options));
     if (r.verdict == carrier::Verdict::kServed)
-      times_.push_back(clock_.now() - from);
+      times_.push_back(loop_.now() - from);
     else
       ++other_;
   }
@@ -130,9 +129,7 @@
     (void)r;
   }
 
-  service::Threads threads_;
-  asio::any_io_executor strand_;
-  service::SystemClock clock_;
+  rpc::GrpcLoop loop_;
   rpc::GrpcChannelFactory channels_;
   std::vector<std::unique_ptr<Client>> clients_;
   std::vector<TimeUs> times_;
--- a/src/badday/day.cpp
+++ b/src/badday/day.cpp
@@ -6,8 +6,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <cmath>
 #include <cstdio>
 #include <fstream>
@@ -19,6 +17,7 @@
 #include <thread>
 
 #include "badday/process.h"
+#include "base/signal.h"
 #include "flightsql/client.h"
 #include "flightsql/terms.h"
 #include "nodes/record_file.h"
@@ -33,7 +32,8 @@
 constexpr TimeUs kReadyUs = 10'000'000;
 
 // A port that is free now. It may be taken before its use, which the start then reports.
-int free_port(asio::io_context& context) {
+int free_port() {
+  asio::io_context context;
   asio::ip::tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
   return acceptor.local_endpoint().port();
 }
@@ -44,17 +44,15 @@
       : script_(script),
         options_(options),
         system_(system),
-        threads_(2),
-        strand_(threads_.strand()),
-        clock_(system, strand_),
-        channels_({}, system.wall),
+        loop_(system.wall, system.steady),
+        channels_({}, loop_),
         random_(script.seed) {}
 
   DayResult run() {
     start_processes();
     clients_.open(path("clients.tsv"));
     clients_ << "tag\tgateway\tclass\tasked\tdue\tended\tend\tattempts\tstatus\tmessage\n";
-    begin_ = clock_.now();
+    begin_ = loop_.now();
     std::thread troubles([this] { run_events(); });
     send_traffic();
     troubles.join();
@@ -128,12 +126,12 @@
     for (size_t i = 0; i < nodes_.size(); ++i) {
       config::NodeConfig& entry = nodes_[i].entry;
       entry.name = "n" + std::to_string(i);
-      entry.address = "127.0.0.1:" + std::to_string(free_port(threads_.context()));
+      entry.address = "127.0.0.1:" + std::to_string(free_port());
       entry.zone = static_cast<int>(i % script_.zones);
       start_node(i, true);
     }
     for (size_t i = 0; i < gateways_.size(); ++i) {
-      gateways_[i].listen = "127.0.0.1:" + std::to_string(free_port(threads_.context()));
+      gateways_[i].listen = "127.0.0.1:" + std::to_string(free_port());
       start_gateway(i);
       gateways_[i].client = std::make_unique<flightsql::Client>(channels_.open(gateways_[i].listen));
     }
@@ -161,7 +159,7 @@
       const std::lock_guard lock(mutex_);
       for (size_t g = 0; g < gateways_.size(); ++g)
         for (const int n : draining)
-          records_.told.push_back({"g" + std::to_string(g), "n" + std::to_string(n), clock_.now()});
+          records_.told.push_back({"g" + std::to_string(g), "n" + std::to_string(n), loop_.now()});
     }
     for (size_t g = 0; g < gateways_.size(); ++g) {
       write_gateway(g);
@@ -185,7 +183,7 @@
 
   void restart(const std::vector<int>& batch) {
     for (const int n : batch) {
-      const TimeUs at = clock_.now();
+      const TimeUs at = loop_.now();
       start_node(n, false);
       nodes_[n].entry.started_us = at;
       nodes_[n].entry.state = EngineState::kReady;
@@ -200,7 +198,7 @@
     std::vector<std::thread> running;
     for (const Event& e : script_.events) {
       running.emplace_back([this, &e] {
-        pause(std::max<TimeUs>(begin_ + e.at - clock_.now(), 0));
+        pause(std::max<TimeUs>(begin_ + e.at - loop_.now(), 0));
         switch (e.kind) {
           case Event::Kind::kDeploy: {
             const std::lock_guard lock(fleet_);
@@ -211,7 +209,7 @@
             for (const int n : e.nodes) {
               nodes_[n].process->kill();
               const std::lock_guard lock(mutex_);
-              records_.node_kills.push_back({"n" + std::to_string(n), clock_.now()});
+              records_.node_kills.push_back({"n" + std::to_string(n), loop_.now()});
             }
             pause(e.for_us);
             const std::lock_guard lock(fleet_);
@@ -220,11 +218,11 @@
           }
           case Event::Kind::kKillGateway: {
             const std::lock_guard fleet_lock(fleet_);
-            audit::KillRecord kill{"g" + std::to_string(e.gateway), clock_.now(), 0};
+            audit::KillRecord kill{"g" + std::to_string(e.gateway), loop_.now(), 0};
             gateways_[e.gateway].process->kill();
             pause(e.for_us);
             start_gateway(e.gateway);
-            kill.up_at = clock_.now();
+            kill.up_at = loop_.now();
             const std::lock_guard lock(mutex_);
             records_.kills.push_back(kill);
             break;
@@ -278,9 +276,9 @@
       p.gateway = static_cast<size_t>(uniform() * static_cast<double>(gateways_.size()));
       p.patience = 0.8 + 0.2 * uniform();
       if (uniform() < t.leaves) p.leaves_at = 0.3 * uniform();
-      pause(std::max<TimeUs>(begin_ + static_cast<TimeUs>(at) - clock_.now(), 0));
+      pause(std::max<TimeUs>(begin_ + static_cast<TimeUs>(at) - loop_.now(), 0));
       ++running_;
-      asio::post(strand_, [this, p] { asio::co_spawn(strand_, client(p), asio::detached); });
+      loop_.post([this, p] { asio::co_spawn(loop_.executor(), client(p), asio::detached); });
     }
   }
 
@@ -305,19 +303,19 @@
       const bool leaves = p.leaves_at >= 0 && turn == 0;
       if (leaves) {
         o.cancel = std::make_shared<flightsql::Canceller>();
-        clock_.call_after(static_cast<TimeUs>(p.leaves_at * static_cast<double>(patience)),
+        loop_.call_after(static_cast<TimeUs>(p.leaves_at * static_cast<double>(patience)),
                           [cancel = o.cancel] { cancel->cancel_all(); });
       }
       std::string sql = statement(t, p.work_us);
       flightsql::Client& to = *gateways_[p.gateway].client;
-      r.asked_at = clock_.now();
+      r.asked_at = loop_.now();
       r.due_at = r.asked_at + patience;
       flightsql::QueryResult result;
       if (t.update)
         result = co_await to.update(std::move(sql), std::move(o));
       else
         result = co_await to.query(std::move(sql), std::move(o));
-      r.ended_at = clock_.now();
+      r.ended_at = loop_.now();
       r.answers = result.from_gateway ? 1 : 0;
       if (!result.connected)
         r.end = ClientRecord::End::kUnreachable;
@@ -341,8 +339,9 @@
       }
       const bool again = r.end == ClientRecord::End::kRefused || r.end == ClientRecord::End::kUnreachable;
       if (!again || turn + 1 == t.tries) break;
-      asio::steady_timer timer(strand_, std::chrono::microseconds(result.retry_after_us.value_or(200'000)));
-      co_await timer.async_wait(asio::use_awaitable);
+      Signal again_now;
+      loop_.call_after(result.retry_after_us.value_or(200'000), [&again_now] { again_now.give(); });
+      co_await again_now.wait();
       p.gateway = (p.gateway + 1) % gateways_.size();
     }
     --running_;
@@ -360,8 +359,8 @@
     for (const ClassSettings& c : script_.gateway.settings.classes) most = std::max(most, c.deadline_us);
     int tries = 1;
     for (const Traffic& t : script_.traffic) tries = std::max(tries, t.tries);
-    const TimeUs until = clock_.now() + tries * (most + 5'000'000);
-    while (running_ > 0 && clock_.now() < until) pause(10'000);
+    const TimeUs until = loop_.now() + tries * (most + 5'000'000);
+    while (running_ > 0 && loop_.now() < until) pause(10'000);
     if (running_ > 0) fail(std::to_string(running_.load()) + " clients never came to an end");
   }
 
@@ -388,9 +387,7 @@
   const Script& script_;
   const DayOptions& options_;
   const service::System& system_;
-  service::Threads threads_;
-  asio::any_io_executor strand_;
-  service::SystemClock clock_;
+  rpc::GrpcLoop loop_;
   rpc::GrpcChannelFactory channels_;
   std::mt19937_64 random_;
   std::vector<Node> nodes_;
--- a/src/cli/query.cpp
+++ b/src/cli/query.cpp
@@ -1,5 +1,3 @@
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/use_future.hpp>
 #include <cinttypes>
 #include <cstdio>
 
@@ -76,8 +74,8 @@
       throw config::ConfigError("--header '" + header + "' is not name=value");
     client_options.headers.emplace_back(header.substr(0, eq), header.substr(eq + 1));
   }
-  service::Threads threads(1);
-  rpc::GrpcChannelFactory channels({}, system.wall);
+  rpc::GrpcLoop loop(system.wall, system.steady);
+  rpc::GrpcChannelFactory channels({}, loop);
   flightsql::QueryResult result;
   {
     flightsql::Client client(channels.open(options.endpoint));
@@ -85,7 +83,7 @@
     if (options.json) on_batch = print_json;
     auto work = options.update ? client.update(options.statement, client_options)
                                : client.query(options.statement, client_options, on_batch);
-    result = boost::asio::co_spawn(threads.strand(), std::move(work), boost::asio::use_future).get();
+    result = loop.spawn(std::move(work)).get();
   }
   if (result.verdict == carrier::Verdict::kServed) {
     if (options.update)
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -1,8 +1,8 @@
+#include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <cstdio>
 #include <fstream>
-#include <future>
 #include <iterator>
 #include <sstream>
 
@@ -16,29 +16,26 @@
 namespace sablelink::cli {
 namespace {
 
-// Waits for signals: stop on SIGTERM and SIGINT, on_reload for each SIGHUP.
+// SIGTERM and SIGINT ask for the end, SIGHUP for a reload. Made before whatever should not be ended by them.
 class Signals {
  public:
-  explicit Signals(service::Threads& threads) : set_(threads.context(), SIGTERM, SIGINT, SIGHUP) { wait(); }
+  Signals() : set_(context_, SIGTERM, SIGINT, SIGHUP) { wait(); }
   void on_reload(std::function<void()> fn) { reload_ = std::move(fn); }
-  void wait_for_stop() { stop_.get_future().wait(); }
+  // Waits in the calling thread, which reloads are called on too.
+  void wait_for_stop() { context_.run(); }
 
  private:
   void wait() {
     set_.async_wait([this](const boost::system::error_code& error, int signal) {
-      if (error) return;
-      if (signal != SIGHUP) {
-        stop_.set_value();
-        return;
-      }
+      if (error || signal != SIGHUP) return;
       if (reload_) reload_();
       wait();
     });
   }
 
+  boost::asio::io_context context_;
   boost::asio::signal_set set_;
   std::function<void()> reload_;
-  std::promise<void> stop_;
 };
 
 void say_ready() {
@@ -81,8 +78,7 @@
 }
 
 int run_up(const UpOptions& options, const service::System& system) {
-  service::Threads threads(2);
-  Signals signals(threads);
+  Signals signals;
   config::GatewayConfig config = config::parse_gateway_config(kUpConfig, "embedded");
   config.name = "up";
   config.listen = options.listen;
@@ -92,13 +88,13 @@
     nodes::NodeConfig node;
     node.name = "node-" + std::to_string(i + 1);
     node.listen = "127.0.0.1:0";
-    nodes.push_back(std::make_unique<service::NodeService>(node, system, threads, nullptr));
+    nodes.push_back(std::make_unique<service::NodeService>(node, system, nullptr));
     config::NodeConfig entry;
     entry.name = node.name;
     entry.address = "127.0.0.1:" + std::to_string(nodes.back()->port());
     config.nodes.push_back(std::move(entry));
   }
-  service::GatewayService gateway(config, system, threads);
+  service::GatewayService gateway(config, system);
   say_ready();
   signals.wait_for_stop();
   gateway.stop(config.front.stop_grace_us);
@@ -107,9 +103,8 @@
 
 int run_gateway(const std::string& file, const service::System& system) {
   const config::GatewayConfig config = config::parse_gateway_config(read_file(file), file);
-  service::Threads threads(1);
-  Signals signals(threads);
-  service::GatewayService gateway(config, system, threads);
+  Signals signals;
+  service::GatewayService gateway(config, system);
   const std::unique_ptr<Log> log = service::make_json_log("config", config.log_level);
   signals.on_reload([&] {
     try {
@@ -128,9 +123,8 @@
   const nodes::NodeConfig config = nodes::parse_node_config(read_file(file), file);
   std::unique_ptr<nodes::RecordFile> record;
   if (!config.record.empty()) record = std::make_unique<nodes::RecordFile>(config.record);
-  service::Threads threads(1);
-  Signals signals(threads);
-  service::NodeService node(config, system, threads, record.get());
+  Signals signals;
+  service::NodeService node(config, system, record.get());
   say_ready();
   signals.wait_for_stop();
   constexpr TimeUs kNodeGraceUs = 10'000'000;
--- a/src/rpc/grpc_client.cpp
+++ b/src/rpc/grpc_client.cpp
@@ -8,6 +8,8 @@
 
 #include <utility>
 
+#include "rpc/grpc_tags.h"
+
 namespace sablelink::rpc {
 namespace {
 
@@ -65,16 +67,16 @@
 
 class GrpcChannel : public Channel {
  public:
-  GrpcChannel(std::shared_ptr<grpc::Channel> channel, grpc::CompletionQueue* queue, const WallClock& wall)
-      : channel_(std::move(channel)), stub_(channel_), queue_(queue), wall_(wall) {}
+  GrpcChannel(std::shared_ptr<grpc::Channel> channel, GrpcLoop& loop)
+      : channel_(std::move(channel)), stub_(channel_), loop_(loop) {}
 
   Awaitable<bool> connect(TimeUs within) override {
-    const auto deadline = wall_() + std::chrono::microseconds(within);
+    const auto deadline = loop_.wall()() + std::chrono::microseconds(within);
     const std::shared_ptr<grpc::Channel> channel = channel_;
     grpc_connectivity_state state = channel->GetState(true);
     while (state != GRPC_CHANNEL_READY) {
       if (state == GRPC_CHANNEL_TRANSIENT_FAILURE || state == GRPC_CHANNEL_SHUTDOWN) co_return false;
-      auto start = [raw = channel.get(), state, deadline, queue = queue_](void* tag) {
+      auto start = [raw = channel.get(), state, deadline, queue = loop_.queue()](void* tag) {
         raw->NotifyOnStateChange(state, deadline, queue, tag);
       };
       const bool changed = co_await await_tag(channel, std::move(start));
@@ -88,8 +90,8 @@
     auto state = std::make_shared<CallState>();
     for (const auto& [key, value] : metadata) state->context.AddMetadata(key, value);
     state->context.set_initial_metadata_corked(true);  // goes out with the first message
-    if (allow > 0) state->context.set_deadline(wall_() + std::chrono::microseconds(allow));
-    state->stream = stub_.PrepareCall(&state->context, method, queue_);
+    if (allow > 0) state->context.set_deadline(loop_.wall()() + std::chrono::microseconds(allow));
+    state->stream = stub_.PrepareCall(&state->context, method, loop_.queue());
     state->stream->StartCall(nullptr);  // corked: nothing is sent yet, and the tag doesn't come back
     return std::make_unique<GrpcClientCall>(std::move(state));
   }
@@ -97,16 +99,13 @@
  private:
   std::shared_ptr<grpc::Channel> channel_;
   grpc::GenericStub stub_;
-  grpc::CompletionQueue* queue_;
-  const WallClock& wall_;
+  GrpcLoop& loop_;
 };
 
 }  // namespace
 
-GrpcChannelFactory::GrpcChannelFactory(const GrpcClientOptions& options, WallClock wall)
-    : options_(options), wall_(std::move(wall)), thread_(std::make_unique<grpc::CompletionQueue>()) {}
-
-GrpcChannelFactory::~GrpcChannelFactory() = default;
+GrpcChannelFactory::GrpcChannelFactory(const GrpcClientOptions& options, GrpcLoop& loop)
+    : options_(options), loop_(loop) {}
 
 std::unique_ptr<Channel> GrpcChannelFactory::open(const std::string& address) {
   grpc::ChannelArguments args;
@@ -120,7 +119,7 @@
   args.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, 10 * pause_ms);
   args.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);  // else the environment would decide
   return std::make_unique<GrpcChannel>(
-      grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(), args), thread_.queue(), wall_);
+      grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(), args), loop_);
 }
 
 }  // namespace sablelink::rpc
--- a/src/rpc/grpc_client.h
+++ b/src/rpc/grpc_client.h
@@ -4,7 +4,7 @@
 #include <memory>
 #include <string>
 
-#include "rpc/grpc_tags.h"
+#include "rpc/grpc_loop.h"
 #include "rpc/rpc.h"
 
 namespace sablelink::rpc {
@@ -14,17 +14,15 @@
   TimeUs reconnect_after_us = 100'000;  // pause after a connection that failed; grows to ten times this
 };
 
-// Owns one completion queue; channels share its thread and must be gone before it.
+// Channels of one loop, which must outlive them.
 class GrpcChannelFactory : public ChannelFactory {
  public:
-  GrpcChannelFactory(const GrpcClientOptions& options, WallClock wall);
-  ~GrpcChannelFactory() override;
+  GrpcChannelFactory(const GrpcClientOptions& options, GrpcLoop& loop);
   std::unique_ptr<Channel> open(const std::string& address) override;
 
  private:
   GrpcClientOptions options_;
-  WallClock wall_;
-  QueueThread thread_;
+  GrpcLoop& loop_;
 };
 
 }  // namespace sablelink::rpc
--- a/src/rpc/grpc_server.cpp
+++ b/src/rpc/grpc_server.cpp
@@ -1,13 +1,14 @@
 #include "rpc/grpc_server.h"
 
 #include <grpcpp/security/server_credentials.h>
-#include <grpcpp/server_builder.h>
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <utility>
 
+#include "rpc/grpc_tags.h"
+
 namespace sablelink::rpc {
 namespace asio = boost::asio;
 
@@ -72,7 +73,7 @@
     }
   }
 
-  // The call is over, on the strand.
+  // The call is over.
   void done() {
     if (context.IsCancelled()) {
       cancelled_ = true;
@@ -98,72 +99,47 @@
   std::function<void()> on_cancelled_;
 };
 
-GrpcServer::GrpcServer(const GrpcServerOptions& options, asio::any_io_executor strand, ServerHandler handler,
-                       WallClock wall)
-    : strand_(std::move(strand)), handler_(std::move(handler)), wall_(std::move(wall)) {
-  grpc::ServerBuilder builder;
+GrpcServer::GrpcServer(const GrpcServerOptions& options, GrpcLoop& loop, ServerHandler handler)
+    : loop_(loop), handler_(std::move(handler)) {
+  grpc::ServerBuilder& builder = loop_.server_builder();
   builder.AddListeningPort(options.address, grpc::InsecureServerCredentials(), &port_);
   builder.RegisterAsyncGenericService(&service_);
   builder.SetMaxReceiveMessageSize(options.max_message_bytes);
   builder.SetMaxSendMessageSize(-1);
   builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);  // a port in use is an error, not shared
-  std::unique_ptr<grpc::ServerCompletionQueue> queue = builder.AddCompletionQueue();
-  queue_ = queue.get();
   server_ = builder.BuildAndStart();
-  if (!server_ || port_ == 0) {
-    queue->Shutdown();
-    void* tag = nullptr;
-    bool ok = false;
-    while (queue->Next(&tag, &ok)) continue;
-    throw ListenError("can't listen on " + options.address);
-  }
-  thread_ = std::make_unique<QueueThread>(std::move(queue));
+  if (!server_ || port_ == 0) throw ListenError("can't listen on " + options.address);
   for (int i = 0; i < options.waiting_calls; ++i) accept();
 }
 
 GrpcServer::~GrpcServer() { shutdown(0); }
 
 void GrpcServer::shutdown(TimeUs grace) {
-  if (!thread_) return;
-  server_->Shutdown(wall_() + std::chrono::microseconds(grace));
-  {  // a handler that still runs may start an operation, which a queue that is shut down doesn't bear
-    std::unique_lock lock(mutex_);
-    ended_.wait(lock, [this] { return running_ == 0; });
-  }
-  thread_.reset();
+  server_->Shutdown(loop_.wall()() + std::chrono::microseconds(grace));
+  // A handler that still runs may start an operation, and a call waited for names this server.
+  std::unique_lock lock(mutex_);
+  ended_.wait(lock, [this] { return running_ == 0; });
 }
 
 void GrpcServer::accept() {
+  count(1);
   auto call = std::make_shared<Call>();
   // Both tags hold the call: the first until it has arrived, the second until it is over.
   auto* const raw = call.get();
-  auto arrived = [this, call] { taken(call); };
   auto over = [call](bool) { call->done(); };
-  auto* over_tag = new PostTag<decltype(over)>(strand_, std::move(over));
+  auto* const over_tag = new FnTag<decltype(over)>(std::move(over));
   raw->context.AsyncNotifyWhenDone(over_tag->give_out());
-  // The arrival is read on the queue's thread, so that the next call needn't wait for the strand.
-  class ArrivalTag : public Tag {
-   public:
-    ArrivalTag(GrpcServer* server, decltype(arrived) fn, Tag* over_tag)
-        : server_(server), fn_(std::move(fn)), over_tag_(over_tag) {}
-    void complete(bool ok) override {
-      if (ok) {
-        server_->count(1);
-        server_->accept();
-        asio::post(server_->strand_, std::move(fn_));
-      } else {
-        delete over_tag_;  // gRPC doesn't return it where the call never started
-      }
-      delete this;
+  auto arrived = [this, call = std::move(call), over_tag](bool ok) mutable {
+    if (ok) {
+      accept();
+      take(std::move(call));
+    } else {
+      over_tag->abandon();  // gRPC doesn't return it where the call never started
+      count(-1);
     }
-
-   private:
-    GrpcServer* server_;
-    decltype(arrived) fn_;
-    Tag* over_tag_;
   };
-  service_.RequestCall(&raw->context, &raw->stream, queue_, queue_,
-                       (new ArrivalTag(this, std::move(arrived), over_tag))->give_out());
+  service_.RequestCall(&raw->context, &raw->stream, loop_.queue(), loop_.server_queue(),
+                       (new FnTag<decltype(arrived)>(std::move(arrived)))->give_out());
 }
 
 void GrpcServer::count(int by) {
@@ -172,10 +148,10 @@
   if (running_ == 0) ended_.notify_all();
 }
 
-void GrpcServer::taken(std::shared_ptr<Call> call) {
-  call->arrived(wall_);
+void GrpcServer::take(std::shared_ptr<Call> call) {
+  call->arrived(loop_.wall());
   asio::co_spawn(
-      strand_,
+      loop_.executor(),
       [](GrpcServer* server, std::shared_ptr<Call> c) -> Awaitable<void> {
         co_await server->handler_(c);
         c->break_off();
--- a/src/service/gateway_service.cpp
+++ b/src/service/gateway_service.cpp
@@ -15,7 +15,7 @@
     if (on) fetch();
   }
   void fetch() override {
-    asio::post(service_.strand_,
+    asio::post(service_.loop_.executor(),
                [this] { service_.carrier_->set_list(ListForm::kFull, service_.directory_.entries()); });
   }
 
@@ -39,22 +39,21 @@
 
 }  // namespace
 
-GatewayService::GatewayService(config::GatewayConfig config, const System& system, Threads& threads)
+GatewayService::GatewayService(config::GatewayConfig config, const System& system)
     : config_(std::move(config)),
-      strand_(threads.strand()),
       log_(make_json_log("gateway", config_.log_level)),
-      clock_(system, strand_),
-      channels_(client_options(config_.front), system.wall),
+      loop_(system.wall, system.steady),
+      channels_(client_options(config_.front), loop_),
       nodes_({config_.name + "/" + hex(system.random()), config_.front.dial_timeout_us,
               config_.front.node_connections},
-             strand_, channels_, [this](EngineId id) { return directory_.address(id); }),
+             loop_.executor(), channels_, [this](EngineId id) { return directory_.address(id); }),
       lists_(std::make_unique<Lists>(*this)) {
   const flightsql::FrontSeeds seeds{system.random(), system.random(), system.random()};
-  carrier_ = std::make_unique<carrier::Carrier>(config_.settings, system.random(), config_.carrier, clock_,
+  carrier_ = std::make_unique<carrier::Carrier>(config_.settings, system.random(), config_.carrier, loop_,
                                                 nodes_, *lists_, *log_);
   nodes_.set_carrier(carrier_.get());
-  front_ = std::make_unique<flightsql::Front>(config_, seeds, *carrier_, clock_, *log_);
-  on_strand([this] {
+  front_ = std::make_unique<flightsql::Front>(config_, seeds, *carrier_, loop_, *log_);
+  loop_.run([this] {
     directory_.replace(config_.nodes);
     carrier_->start();
     carrier_->set_list(ListForm::kCached, directory_.entries());
@@ -62,42 +61,33 @@
   rpc::GrpcServerOptions options;
   options.address = config_.listen;
   options.max_message_bytes = static_cast<int>(config_.front.message_bytes);
-  server_ = std::make_unique<rpc::GrpcServer>(
-      options, strand_,
-      [this](std::shared_ptr<rpc::ServerCall> call) { return front_->handle(std::move(call)); }, system.wall);
+  server_ = std::make_unique<rpc::GrpcServer>(options, loop_, [this](std::shared_ptr<rpc::ServerCall> call) {
+    return front_->handle(std::move(call));
+  });
   log_->info("started", {{"name", config_.name},
                          {"listen", config_.listen},
                          {"port", std::to_string(server_->port())},
                          {"nodes", std::to_string(config_.nodes.size())}});
 }
 
-// All that runs on the strand must have ended before what it uses goes.
+// All that runs on the loop must have ended before what it uses goes.
 GatewayService::~GatewayService() {
   if (server_) server_->shutdown(0);
   for (bool quiet = false; !quiet;) {
-    on_strand([&] {
+    loop_.run([&] {
       nodes_.drop_all();
       quiet = nodes_.busy() == 0;
     });
     if (!quiet) std::this_thread::sleep_for(std::chrono::milliseconds(1));
   }
-  on_strand([this] {
+  loop_.run([this] {
     front_.reset();
     carrier_.reset();
   });
 }
 
-void GatewayService::on_strand(const std::function<void()>& fn) {
-  std::promise<void> done;
-  asio::post(strand_, [&] {
-    fn();
-    done.set_value();
-  });
-  done.get_future().wait();
-}
-
 void GatewayService::reload(const config::GatewayConfig& config) {
-  asio::post(strand_, [this, nodes = config.nodes, selectors = config.selectors]() mutable {
+  loop_.post([this, nodes = config.nodes, selectors = config.selectors]() mutable {
     front_->set_selectors(std::move(selectors));
     directory_.replace(nodes);
     carrier_->set_list(ListForm::kFull, directory_.entries());
@@ -108,7 +98,7 @@
 void GatewayService::stop(TimeUs grace) {
   const auto idle = std::make_shared<std::promise<void>>();
   std::future<void> ended = idle->get_future();
-  asio::post(strand_, [this, idle] {
+  loop_.post([this, idle] {
     log_->info("stopping", {{"open", std::to_string(carrier_->open())}});
     carrier_->stop([idle] { idle->set_value(); });
   });
@@ -120,7 +110,7 @@
 
 void GatewayService::inspect(
     const std::function<void(const carrier::Carrier&, const flightsql::Front&)>& fn) {
-  on_strand([&] { fn(*carrier_, *front_); });
+  loop_.run([&] { fn(*carrier_, *front_); });
 }
 
 }  // namespace sablelink::service
--- a/src/service/gateway_service.h
+++ b/src/service/gateway_service.h
@@ -1,4 +1,4 @@
-// One gateway as a process runs it: its parts put together on one strand, with their start, reload and end.
+// One gateway as a process runs it: its parts put together on one loop, with their start, reload and end.
 #pragma once
 
 #include <functional>
@@ -16,11 +16,11 @@
 
 namespace sablelink::service {
 
-// Made, reloaded and stopped from outside its strand. The threads must run until it is destroyed.
+// Made, reloaded and stopped from outside its loop, which is its own.
 class GatewayService {
  public:
   // Listens and serves at once. Throws rpc::ListenError.
-  GatewayService(config::GatewayConfig config, const System& system, Threads& threads);
+  GatewayService(config::GatewayConfig config, const System& system);
   ~GatewayService();  // breaks off whatever is left
 
   int port() const { return server_->port(); }
@@ -30,18 +30,15 @@
   // Refuses new requests, waits for those that are held, at most for the grace, then ends the service.
   // Blocks.
   void stop(TimeUs grace);
-  // Runs fn on the strand and waits for it; for tests and metrics.
+  // Runs fn on the loop and waits for it; for tests and metrics.
   void inspect(const std::function<void(const carrier::Carrier&, const flightsql::Front&)>& fn);
 
  private:
   class Lists;
 
-  void on_strand(const std::function<void()>& fn);  // and waits for it
-
   config::GatewayConfig config_;
-  boost::asio::any_io_executor strand_;
   std::unique_ptr<Log> log_;
-  SystemClock clock_;
+  rpc::GrpcLoop loop_;
   membership::Directory directory_;
   rpc::GrpcChannelFactory channels_;
   flightsql::NodeClient nodes_;
--- a/src/service/node_service.h
+++ b/src/service/node_service.h
@@ -12,7 +12,7 @@
 class NodeService {
  public:
   // Listens and serves at once; the recorder may be none. Throws rpc::ListenError.
-  NodeService(nodes::NodeConfig config, const System& system, Threads& threads, nodes::Recorder* recorder);
+  NodeService(nodes::NodeConfig config, const System& system, nodes::Recorder* recorder);
   ~NodeService();
 
   int port() const { return server_->port(); }
@@ -20,12 +20,11 @@
   void kill() { server_->shutdown(0); }
   // Admits nothing new and waits for what runs, at most for the grace. Blocks.
   void stop(TimeUs grace);
-  // Runs fn on the node's strand and waits for it.
+  // Runs fn on the node's loop and waits for it.
   void inspect(const std::function<void(nodes::StandIn&)>& fn);
 
  private:
-  boost::asio::any_io_executor strand_;
-  SystemClock clock_;
+  rpc::GrpcLoop loop_;
   std::unique_ptr<nodes::StandIn> node_;
   std::unique_ptr<rpc::GrpcServer> server_;
 };
--- a/src/service/runtime.cpp
+++ b/src/service/runtime.cpp
@@ -3,50 +3,9 @@
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
-#include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
-
 #include "base/json.h"
 
 namespace sablelink::service {
-namespace asio = boost::asio;
-
-Threads::Threads(size_t count) : guard_(context_.get_executor()) {
-  for (size_t i = 0; i < count; ++i) threads_.emplace_back([this] { context_.run(); });
-}
-
-Threads::~Threads() { stop(); }
-
-asio::any_io_executor Threads::strand() { return asio::make_strand(context_); }
-
-void Threads::stop() {
-  guard_.reset();
-  context_.stop();
-  for (std::thread& t : threads_) t.join();
-  threads_.clear();
-}
-
-SystemClock::SystemClock(const System& system, asio::any_io_executor strand)
-    : steady_(system.steady),
-      strand_(std::move(strand)),
-      base_us_(
-          std::chrono::duration_cast<std::chrono::microseconds>(system.wall().time_since_epoch()).count()),
-      base_(steady_()) {}
-
-TimeUs SystemClock::now() const {
-  return base_us_ + std::chrono::duration_cast<std::chrono::microseconds>(steady_() - base_).count();
-}
-
-void SystemClock::call_after(TimeUs delay, std::function<void()> fn) {
-  if (delay <= 0) {
-    asio::post(strand_, std::move(fn));
-    return;
-  }
-  const auto timer = std::make_shared<asio::steady_timer>(strand_, std::chrono::microseconds(delay));
-  timer->async_wait([timer, fn = std::move(fn)](const boost::system::error_code& error) {
-    if (!error) fn();
-  });
-}
 
 namespace {
 
--- a/tests/loopback_test.cpp
+++ b/tests/loopback_test.cpp
@@ -112,8 +112,8 @@
  protected:
   void SetUp() override {
     system_ = test_system();
-    threads_ = std::make_unique<service::Threads>(3);
-    channels_ = std::make_unique<rpc::GrpcChannelFactory>(rpc::GrpcClientOptions{}, system_.wall);
+    loop_ = std::make_unique<rpc::GrpcLoop>(system_.wall, system_.steady);
+    channels_ = std::make_unique<rpc::GrpcChannelFactory>(rpc::GrpcClientOptions{}, *loop_);
     config_ = config::parse_gateway_config(kClasses, "test");
     config_.name = "g";
     config_.listen = "127.0.0.1:0";
@@ -124,13 +124,13 @@
     gateway_.reset();
     nodes_.clear();
     channels_.reset();
-    threads_.reset();
+    loop_.reset();
   }
 
   service::NodeService& add_node(nodes::NodeConfig node = {}, int zone = 0) {
     node.name = "n" + std::to_string(config_.nodes.size());
     if (node.listen.empty()) node.listen = "127.0.0.1:0";
-    nodes_.push_back(std::make_unique<service::NodeService>(node, system_, *threads_, &recorder_));
+    nodes_.push_back(std::make_unique<service::NodeService>(node, system_, &recorder_));
     config::NodeConfig entry;
     entry.name = node.name;
     entry.zone = zone;
@@ -139,7 +139,7 @@
     return *nodes_.back();
   }
   void start() {
-    gateway_ = std::make_unique<service::GatewayService>(config_, system_, *threads_);
+    gateway_ = std::make_unique<service::GatewayService>(config_, system_);
     client_ = open_client();
   }
   std::unique_ptr<Client> open_client() {
@@ -155,7 +155,7 @@
   }
   template <typename T>
   std::future<T> spawn(rpc::Awaitable<T> work) {
-    return boost::asio::co_spawn(threads_->strand(), std::move(work), boost::asio::use_future);
+    return loop_->spawn(std::move(work));
   }
   // Sends a statement and takes down what the auditor needs of it.
   std::future<QueryResult> send(const std::string& sql, const std::string& tag, ClientOptions o,
@@ -196,12 +196,7 @@
   }
   // Breaks off every call that is out.
   void cancel_all() {
-    std::promise<void> done;
-    boost::asio::post(threads_->strand(), [&] {
-      cancel_->cancel_all();
-      done.set_value();
-    });
-    done.get_future().wait();
+    loop_->run([&] { cancel_->cancel_all(); });
   }
   TimeUs wall() const {
     return std::chrono::duration_cast<std::chrono::microseconds>(system_.wall().time_since_epoch()).count();
@@ -239,7 +234,7 @@
   }
 
   service::System system_;
-  std::unique_ptr<service::Threads> threads_;
+  std::unique_ptr<rpc::GrpcLoop> loop_;
   std::unique_ptr<rpc::GrpcChannelFactory> channels_;
   config::GatewayConfig config_;
   MemoryRecorder recorder_;
@@ -415,7 +410,7 @@
   {
     nodes::NodeConfig gone;
     gone.listen = "127.0.0.1:0";
-    service::NodeService ghost(gone, system_, *threads_, nullptr);
+    service::NodeService ghost(gone, system_, nullptr);
     closed.address = "127.0.0.1:" + std::to_string(ghost.port());
   }
   config_.nodes.push_back(closed);
@@ -545,7 +540,7 @@
   nodes_[1]->kill();
   cold.listen = config_.nodes[1].address;
   cold.name = "n1";
-  nodes_[1] = std::make_unique<service::NodeService>(cold, system_, *threads_, &recorder_);
+  nodes_[1] = std::make_unique<service::NodeService>(cold, system_, &recorder_);
   config::GatewayConfig told = config_;
   told.nodes[1].started_us = wall();
   gateway_->reload(told);
@@ -880,7 +875,7 @@
 // gRPC makes a client's timeout longer on the wire, by rounding and by sending an earlier one again; an
 // answer that counts on the time told comes too late.
 TEST_F(Loopback, AGatewayNeverCountsOnMoreTimeThanItsClientHas) {
-  const auto strand = threads_->strand();
+  rpc::GrpcLoop server_loop(system_.wall, system_.steady);
   std::vector<TimeUs> seen;
   auto handler = [&seen](std::shared_ptr<rpc::ServerCall> call) -> rpc::Awaitable<void> {
     seen.push_back(call->allowed().value_or(-1));
@@ -891,7 +886,7 @@
   };
   rpc::GrpcServerOptions server_options;
   server_options.address = "127.0.0.1:0";
-  rpc::GrpcServer server(server_options, strand, handler, system_.wall);
+  rpc::GrpcServer server(server_options, server_loop, handler);
   client_ = std::make_unique<Client>(channels_->open("127.0.0.1:" + std::to_string(server.port())));
   const std::vector<TimeUs> allowed = {123'400,     1'001'000, 2'401'000, 9'991'000, 12'301'000,
                                        100'001'000, 2'869'000, 2'797'000, 7'630'000, 7'412'000};
@@ -909,7 +904,7 @@
   add_node();
   start();
   config_.listen = "127.0.0.1:" + std::to_string(gateway_->port());
-  EXPECT_THROW(service::GatewayService(config_, system_, *threads_), rpc::ListenError);
+  EXPECT_THROW(service::GatewayService(config_, system_), rpc::ListenError);
 }
 
 }  // namespace
