Benchmark tells CPU a query and memory of waiting requests; figures of the loop

The open loop's sender spun, which took a core from what it measured; it sleeps now and times from its sending.

--- a/bench/gateway_bench.cpp
+++ b/bench/gateway_bench.cpp
@@ -15,6 +15,7 @@
 #include <fstream>
 #include <future>
 #include <random>
+#include <sstream>
 #include <thread>
 
 #include "badday/process.h"
@@ -62,7 +63,16 @@
   }
   ~Load() { clients_.clear(); }
 
-  // Queries come at their times, whatever became of the others; each is timed from when it was due.
+  // Connects and makes the other side ready; nothing of it is counted.
+  Load& warmed() {
+    closed_loop(16, 300'000);
+    times_.clear();
+    other_ = 0;
+    return *this;
+  }
+
+  // Queries come at their times, whatever became of the others. Each is timed from when this thread sent it:
+  // it sleeps some 60 us too long, which is no server's doing, and never waits for one.
   Figures open_loop(double rate, TimeUs span) {
     std::mt19937_64 random(3);
     std::exponential_distribution<double> gap(rate / 1e6);
@@ -70,16 +80,13 @@
     const TimeUs begin = loop_.now();
     while (at < static_cast<double>(span)) {
       at += gap(random);
-      const TimeUs due = begin + static_cast<TimeUs>(at);
-      // Sleeping ends some 60 us late, which would be counted as the server's.
-      const TimeUs left = due - loop_.now();
-      if (left > 150) std::this_thread::sleep_for(std::chrono::microseconds(left - 150));
-      while (loop_.now() < due) std::this_thread::yield();
+      const TimeUs left = begin + static_cast<TimeUs>(at) - loop_.now();
+      if (left > 0) std::this_thread::sleep_for(std::chrono::microseconds(left));
       ++out_;
-      loop_.post([this, due] { asio::co_spawn(loop_.executor(), one(due), asio::detached); });
+      loop_.post([this, from = loop_.now()] { asio::co_spawn(loop_.executor(), one(from), asio::detached); });
     }
     while (out_ > 0) std::this_thread::sleep_for(std::chrono::milliseconds(5));
-    return figures(std::move(times_), other_, loop_.now() - begin);
+    return figures(std::exchange(times_, {}), other_, loop_.now() - begin);
   }
 
   // So many queries are out at all times.
@@ -91,7 +98,7 @@
       for (int i = 0; i < width; ++i) asio::co_spawn(loop_.executor(), many(), asio::detached);
     });
     while (out_ > 0) std::this_thread::sleep_for(std::chrono::milliseconds(5));
-    return figures(std::move(times_), other_, loop_.now() - begin);
+    return figures(std::exchange(times_, {}), other_, loop_.now() - begin);
   }
 
   // Sends queries that stay open.
@@ -102,8 +109,8 @@
   }
 
  private:
-  rpc::Awaitable<void> one(TimeUs due) {
-    co_await query(due);
+  rpc::Awaitable<void> one(TimeUs from) {
+    co_await query(from);
     --out_;
   }
   rpc::Awaitable<void> many() {
@@ -139,19 +146,26 @@
   TimeUs until_ = 0;
 };
 
-// Resident memory of the child that runs a configuration, in KiB.
-long resident_kib(const std::string& config) {
-  for (const auto& entry : std::filesystem::directory_iterator("/proc")) {
-    std::ifstream command(entry.path() / "cmdline", std::ios::binary);
-    const std::string line((std::istreambuf_iterator<char>(command)), {});
-    if (line.find(config) == std::string::npos || line.find("gateway") == std::string::npos) continue;
-    std::ifstream status(entry.path() / "status");
-    for (std::string text; std::getline(status, text);)
-      if (text.rfind("VmRSS:", 0) == 0) return std::atol(text.c_str() + 6);
-  }
+// A process's resident memory in KiB.
+long resident_kib(pid_t pid) {
+  std::ifstream status("/proc/" + std::to_string(pid) + "/status");
+  for (std::string text; std::getline(status, text);)
+    if (text.rfind("VmRSS:", 0) == 0) return std::atol(text.c_str() + 6);
   return 0;
 }
 
+// What a process has used of its cores, in microseconds.
+double cpu_us(pid_t pid) {
+  std::ifstream stat("/proc/" + std::to_string(pid) + "/stat");
+  std::string text((std::istreambuf_iterator<char>(stat)), {});
+  std::istringstream fields(text.substr(text.rfind(')') + 2));
+  std::string skipped;
+  for (int i = 0; i < 11; ++i) fields >> skipped;
+  double user = 0, system = 0;
+  fields >> user >> system;
+  return (user + system) * 1e6 / static_cast<double>(::sysconf(_SC_CLK_TCK));
+}
+
 void print(const char* name, const Figures& f) {
   std::printf("%-28s %9.0f /s   p50 %8.0f us   p99 %8.0f us   served %llu, other %llu\n", name, f.per_second,
               f.p50_us, f.p99_us, static_cast<unsigned long long>(f.served),
@@ -170,46 +184,74 @@
   asio::io_context context;
   const std::string node = "127.0.0.1:" + std::to_string(free_port(context));
   const std::string gateway = "127.0.0.1:" + std::to_string(free_port(context));
-  const std::string node_file = folder / "node.toml", gateway_file = folder / "gateway.toml";
+  const std::string small = "127.0.0.1:" + std::to_string(free_port(context));
+  const std::string node_file = folder / "node.toml";
   std::ofstream(node_file) << "[node]\nname = \"n\"\nlisten = \"" << node
                            << "\"\n[engine]\ncores = 1000\nsessions_per_core = 100\nmemory = \"1000GiB\"\n";
-  std::ofstream(gateway_file)
-      << "[gateway]\nname = \"g\"\nlisten = \"" << gateway
-      << "\"\nlog_level = \"error\"\n[limits]\nopen_per_connection = 100000\n"
-         "[[kind]]\nname = \"k\"\ncores = 1000\n[[class]]\nname = \"q\"\naim = \"2s\"\n"
-         "deadline = \"200s\"\nlate_worth = 0.5\n[[node]]\nname = \"n\"\naddress = \""
-      << node << "\"\n";
-  Process node_process(program, {"node", "--config", node_file}, folder / "node.log");
-  if (!node_process.wait_ready(5'000'000)) throw std::runtime_error("the node didn't start");
-  Process gateway_process(program, {"gateway", "--config", gateway_file}, folder / "gateway.log");
-  if (!gateway_process.wait_ready(5'000'000)) throw std::runtime_error("the gateway didn't start");
+  // A gateway to the node, which takes it to have so many cores.
+  const auto gateway_file = [&](const std::string& name, const std::string& listen, int cores) {
+    const std::string file = folder / (name + ".toml");
+    std::ofstream(file) << "[gateway]\nname = \"" << name << "\"\nlisten = \"" << listen
+                        << "\"\nlog_level = \"error\"\n[limits]\nopen_per_connection = 100000\n"
+                        << "[[kind]]\nname = \"k\"\ncores = " << cores
+                        << "\n[[class]]\nname = \"q\"\naim = \"2s\"\ndeadline = \"200s\"\nlate_worth = 0.5\n"
+                        << "[[node]]\nname = \"n\"\naddress = \"" << node << "\"\n";
+    return file;
+  };
+  const auto start = [&](const std::string& kind, const std::string& file) {
+    auto process =
+        std::make_unique<Process>(program, std::vector<std::string>{kind, "--config", file}, file + ".log");
+    if (!process->wait_ready(5'000'000)) throw std::runtime_error("the " + kind + " didn't start");
+    return process;
+  };
+  const auto node_process = start("node", node_file);
+  const auto gateway_process = start("gateway", gateway_file("wide", gateway, 1000));
+  const auto small_process = start("gateway", gateway_file("small", small, 4));
 
   const auto span = static_cast<TimeUs>(seconds * 1e6);
-  const auto at_rate = [&](const std::string& to) { return Load(system, to, 4).open_loop(rate, span); };
-  const auto full = [&](const std::string& to) { return Load(system, to, 4).closed_loop(width, span); };
+  const auto at_rate = [&](const std::string& to) {
+    return Load(system, to, 4).warmed().open_loop(rate, span);
+  };
+  const auto full = [&](const std::string& to) {
+    return Load(system, to, 4).warmed().closed_loop(width, span);
+  };
+  const auto spent = [&](const char* name, const Process& process, const auto& load) {
+    const double before = cpu_us(process.pid());
+    const Figures f = load();
+    print(name, f);
+    std::printf("  %26s %9.0f us of a core a query\n", "",
+                (cpu_us(process.pid()) - before) / static_cast<double>(f.served));
+    return f;
+  };
   std::printf("%u cores; %.0f s each; statement: %s\n", std::thread::hardware_concurrency(), seconds,
               kStatement);
   full(gateway);  // warms up both
-  const Figures direct = at_rate(node), through = at_rate(gateway);
   std::printf("open loop, %.0f queries/s:\n", rate);
-  print("  direct", direct);
-  print("  through the gateway", through);
+  const Figures direct = spent("  direct", *node_process, [&] { return at_rate(node); });
+  const Figures through = spent("  through the gateway", *gateway_process, [&] { return at_rate(gateway); });
   std::printf("  added p50 %.0f us, p99 %.0f us; ratios %.2f, %.2f\n", through.p50_us - direct.p50_us,
               through.p99_us - direct.p99_us, through.p50_us / direct.p50_us, through.p99_us / direct.p99_us);
-  const Figures most_direct = full(node), most_through = full(gateway);
   std::printf("closed loop, %d out at all times:\n", width);
-  print("  direct", most_direct);
-  print("  through the gateway", most_through);
+  const Figures most_direct = spent("  direct", *node_process, [&] { return full(node); });
+  const Figures most_through =
+      spent("  through the gateway", *gateway_process, [&] { return full(gateway); });
   std::printf("  throughput ratio %.2f\n", most_through.per_second / most_direct.per_second);
 
   constexpr int kHeld = 5'000;
-  const long before = resident_kib(gateway_file);
-  Load holder(system, gateway, 4);
-  holder.hold(kHeld, "SELECT 1 /*+ mishap=hang */");
-  std::this_thread::sleep_for(std::chrono::seconds(3));
-  const long after = resident_kib(gateway_file);
-  std::printf("memory: %ld KiB before, %ld KiB with %d requests open: %.1f KiB each\n", before, after, kHeld,
-              static_cast<double>(after - before) / kHeld);
+  // A gateway that takes the node for a wide one has sent all of them; the other holds nearly all back.
+  std::vector<std::unique_ptr<Load>> holders;
+  const auto held = [&](const char* name, const Process& process, const std::string& to) {
+    Load(system, to, 4).warmed();
+    const long before = resident_kib(process.pid());
+    holders.push_back(std::make_unique<Load>(system, to, 4));
+    holders.back()->hold(kHeld, "SELECT 1 /*+ mishap=hang */");
+    std::this_thread::sleep_for(std::chrono::seconds(3));
+    const long after = resident_kib(process.pid());
+    std::printf("memory, %d requests open, %s: %ld KiB before, %ld KiB then, %.1f KiB each\n", kHeld, name,
+                before, after, static_cast<double>(after - before) / kHeld);
+  };
+  held("all at the node", *gateway_process, gateway);
+  held("waiting in the gateway", *small_process, small);
   std::fflush(stdout);
   std::filesystem::remove_all(folder);
   std::_Exit(0);  // the held queries' clients would wait for their answers
--- a/src/badday/process.h
+++ b/src/badday/process.h
@@ -25,6 +25,7 @@
   // Waits for its end; false where the time is up. status gets what waitpid tells.
   bool wait_end(TimeUs within, int* status = nullptr);
   void kill();
+  pid_t pid() const { return pid_; }
 
  private:
   pid_t pid_ = -1;
