--- /dev/null
+++ b/src/service/gateway_core.cpp
@@ -0,0 +1,74 @@
+#include "service/gateway_core.h"
+
+#include <boost/asio/post.hpp>
+#include <cstdio>
+#include <string>
+#include <utility>
+
+namespace sablelink::service {
+namespace {
+
+std::string hex(uint64_t value) {
+  char text[17];
+  std::snprintf(text, sizeof(text), "%016llx", static_cast<unsigned long long>(value));
+  return text;
+}
+
+}  // namespace
+
+// Answers with the whole list as it was told last.
+class GatewayCore::Lists : public carrier::ListSource {
+ public:
+  Lists(GatewayCore& core, boost::asio::any_io_executor executor)
+      : core_(core), executor_(std::move(executor)) {}
+  void subscribe(bool on) override {
+    if (on) fetch();
+  }
+  void fetch() override {
+    boost::asio::post(executor_,
+                      [this] { core_.carrier_->set_list(ListForm::kFull, core_.directory_.entries()); });
+  }
+
+ private:
+  GatewayCore& core_;
+  boost::asio::any_io_executor executor_;
+};
+
+GatewayCore::GatewayCore(const config::GatewayConfig& config, const GatewaySeeds& seeds,
+                         const GatewayPorts& ports)
+    : first_nodes_(config.nodes),
+      nodes_(
+          {config.name + "/" + hex(seeds.start), config.front.dial_timeout_us, config.front.node_connections},
+          ports.executor, ports.channels, [this](EngineId id) { return directory_.address(id); }) {
+  if (ports.wrap_nodes) wrapped_ = ports.wrap_nodes(nodes_);
+  carrier::ListSource* lists = ports.lists;
+  if (lists == nullptr) {
+    lists_ = std::make_unique<Lists>(*this, ports.executor);
+    lists = lists_.get();
+  }
+  carrier::NodeTransport& transport = wrapped_ ? *wrapped_ : nodes_;
+  carrier_ = std::make_unique<carrier::Carrier>(config.settings, seeds.module, config.carrier, ports.clock,
+                                                transport, *lists, ports.log);
+  nodes_.set_carrier(carrier_.get());
+  front_ = std::make_unique<flightsql::Front>(config, seeds.front, *carrier_, ports.clock, ports.log);
+}
+
+GatewayCore::~GatewayCore() = default;
+
+void GatewayCore::start() {
+  directory_.replace(first_nodes_);
+  carrier_->start();
+  carrier_->set_list(ListForm::kCached, directory_.entries());
+}
+
+void GatewayCore::set_nodes(const std::vector<config::NodeConfig>& nodes, ListForm form) {
+  directory_.replace(nodes);
+  carrier_->set_list(form, directory_.entries());
+}
+
+bool GatewayCore::quiesce() {
+  nodes_.drop_all();
+  return nodes_.busy() == 0;
+}
+
+}  // namespace sablelink::service
--- /dev/null
+++ b/src/service/gateway_core.h
@@ -0,0 +1,78 @@
+// A gateway without its sockets: list of nodes, node client, carrier and front, put together on one executor
+// and clock. GatewayService gives it gRPC, the simulation a network of its own.
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "carrier/carrier.h"
+#include "config/gateway_config.h"
+#include "flightsql/front.h"
+#include "flightsql/node_client.h"
+#include "membership/directory.h"
+#include "rpc/rpc.h"
+
+namespace sablelink::service {
+
+// Random numbers that are drawn once for each start.
+struct GatewaySeeds {
+  uint64_t start = 0;  // names this start in every request's name
+  uint64_t module = 0;
+  flightsql::FrontSeeds front;
+};
+
+// What a gateway is built on. All must outlive it.
+struct GatewayPorts {
+  boost::asio::any_io_executor executor;
+  Clock& clock;
+  rpc::ChannelFactory& channels;
+  Log& log;
+  // Asked for the list where given; else it is answered with what set_nodes() has told last.
+  carrier::ListSource* lists = nullptr;
+  // For tests that plant defects: stands between the carrier and the node client.
+  std::function<std::unique_ptr<carrier::NodeTransport>(carrier::NodeTransport&)> wrap_nodes;
+};
+
+// Used on its executor alone.
+class GatewayCore {
+ public:
+  GatewayCore(const config::GatewayConfig& config, const GatewaySeeds& seeds, const GatewayPorts& ports);
+  // Every call given to handle() must have ended and quiesce() be true.
+  ~GatewayCore();
+  GatewayCore(const GatewayCore&) = delete;
+  GatewayCore& operator=(const GatewayCore&) = delete;
+
+  // Begins with the list of the configuration, taken as one from before.
+  void start();
+  rpc::Awaitable<void> handle(std::shared_ptr<rpc::ServerCall> call) {
+    return front_->handle(std::move(call));
+  }
+  // Takes a list over, in which a node that has left is missing or marked as gone.
+  void set_nodes(const std::vector<config::NodeConfig>& nodes, ListForm form = ListForm::kFull);
+  void set_selectors(config::SelectorSettings selectors) { front_->set_selectors(std::move(selectors)); }
+  // Refuses what is new; on_idle is called once nothing is left.
+  void stop(std::function<void()> on_idle) { carrier_->stop(std::move(on_idle)); }
+  // Drops every attempt; true once all that was begun has unwound.
+  bool quiesce();
+
+  const carrier::Carrier& carrier() const { return *carrier_; }
+  const flightsql::Front& front() const { return *front_; }
+  const flightsql::NodeClient& node_client() const { return nodes_; }
+
+ private:
+  class Lists;
+
+  const std::vector<config::NodeConfig> first_nodes_;
+  membership::Directory directory_;
+  flightsql::NodeClient nodes_;
+  std::unique_ptr<carrier::NodeTransport> wrapped_;
+  std::unique_ptr<Lists> lists_;
+  std::unique_ptr<carrier::Carrier> carrier_;
+  std::unique_ptr<flightsql::Front> front_;
+};
+
+}  // namespace sablelink::service
--- a/src/service/gateway_service.h
+++ b/src/service/gateway_service.h
@@ -5,13 +5,10 @@
 #include <memory>
 #include <string>
 
-#include "carrier/carrier.h"
 #include "config/gateway_config.h"
-#include "flightsql/front.h"
-#include "flightsql/node_client.h"
-#include "membership/directory.h"
 #include "rpc/grpc_client.h"
 #include "rpc/grpc_server.h"
+#include "service/gateway_core.h"
 #include "service/runtime.h"
 
 namespace sablelink::service {
@@ -34,17 +31,13 @@
   void inspect(const std::function<void(const carrier::Carrier&, const flightsql::Front&)>& fn);
 
  private:
-  class Lists;
+  void unwind();  // waits until nothing of the core runs any more, and ends it
 
-  config::GatewayConfig config_;
+  const config::GatewayConfig config_;
   std::unique_ptr<Log> log_;
   rpc::GrpcLoop loop_;
-  membership::Directory directory_;
   rpc::GrpcChannelFactory channels_;
-  flightsql::NodeClient nodes_;
-  std::unique_ptr<Lists> lists_;
-  std::unique_ptr<carrier::Carrier> carrier_;
-  std::unique_ptr<flightsql::Front> front_;
+  std::unique_ptr<GatewayCore> core_;
   std::unique_ptr<rpc::GrpcServer> server_;
 };
 
--- /dev/null
+++ b/src/sim/network.cpp
@@ -0,0 +1,617 @@
+#include "sim/network.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <deque>
+#include <utility>
+
+#include "base/signal.h"
+
+namespace sablelink::sim {
+
+using rpc::Awaitable;
+using rpc::CallEnd;
+using rpc::Code;
+
+namespace {
+
+CallEnd made_up(Code code, std::string what) {
+  CallEnd end;
+  end.status = {code, std::move(what), ""};
+  return end;
+}
+
+constexpr TimeUs kReconnectPauseUs = 100'000;  // gRPC's, as grpc_client.h sets it
+
+}  // namespace
+
+class Network::Listener {
+ public:
+  std::string address;
+  std::shared_ptr<Actor> actor;
+  rpc::ServerHandler handler;
+  size_t max_message_bytes = 0;
+  bool open = true;
+  size_t running = 0;
+};
+
+struct Network::Connection {
+  enum class State { kConnecting, kUp, kBroken };
+  uint64_t number = 0;
+  std::string address;
+  std::shared_ptr<Actor> client;
+  std::shared_ptr<Listener> server;
+  State state = State::kConnecting;
+  RandomStream random;
+  TimeUs arrives[2] = {0, 0};  // the latest arrival so far, to the client and to the server
+  bool cut = false;
+  std::vector<std::pair<bool, std::function<void()>>> held;  // sent while it was cut
+  std::vector<std::weak_ptr<Call>> calls;
+
+  explicit Connection(RandomStream r) : random(std::move(r)) {}
+};
+
+// Both halves of a call. Each is touched in events of its own side alone, but for the facts.
+struct Network::Call {
+  struct Half {
+    std::deque<std::string> in;  // arrived and not yet read
+    bool in_end = false;         // nothing more comes
+    Signal readable, writable;
+    size_t unread = 0;  // sent from here and not yet read there
+    bool over = false;
+  };
+  CallFacts facts;
+  std::shared_ptr<Connection> connection;
+  Half client, server;
+  TimeUs allow = 0;
+  bool started = false;
+  // At the client.
+  std::optional<CallEnd> end;
+  Signal ended;
+  // At the server.
+  std::shared_ptr<Listener> listener;
+  std::optional<TimeUs> allowed;
+  bool cancelled = false, finished = false;
+  std::function<void()> on_cancelled;
+};
+
+// ---- Ends ------------------------------------------------------------------------------------------------
+
+class Network::ServerEnd : public rpc::ServerCall {
+ public:
+  ServerEnd(Network& network, std::shared_ptr<Call> call) : network_(network), call_(std::move(call)) {}
+  ~ServerEnd() override { break_off(); }
+
+  const std::string& method() const override { return call_->facts.method; }
+  const rpc::Metadata& metadata() const override { return call_->facts.metadata; }
+  const std::string& peer() const override { return peer_; }
+  std::optional<TimeUs> allowed() const override { return call_->allowed; }
+  bool cancelled() const override { return call_->cancelled; }
+  void on_cancelled(std::function<void()> fn) override {
+    if (call_->cancelled)
+      fn();
+    else
+      call_->on_cancelled = std::move(fn);
+  }
+
+  Awaitable<std::optional<std::string>> read() override {
+    const std::shared_ptr<Call> call = call_;
+    Network& network = network_;
+    while (call->server.in.empty() && !call->server.in_end && !call->server.over)
+      co_await call->server.readable.wait();
+    if (call->server.in.empty() || call->server.over) co_return std::nullopt;
+    std::string message = std::move(call->server.in.front());
+    call->server.in.pop_front();
+    network.send(call->connection, false, [call, n = message.size()] {
+      call->client.unread -= std::min(n, call->client.unread);
+      call->client.writable.give();
+    });
+    co_return message;
+  }
+
+  Awaitable<bool> write(std::string message) override {
+    const std::shared_ptr<Call> call = call_;
+    if (call->server.over || call->finished) co_return false;
+    call->server.unread += message.size();
+    pass_on(std::move(message));
+    while (call->server.unread > network_.terms_.window_bytes && !call->server.over)
+      co_await call->server.writable.wait();
+    co_return !call->server.over;
+  }
+
+  Awaitable<bool> finish(rpc::Status status, rpc::Metadata trailers,
+                         std::optional<std::string> last) override {
+    const std::shared_ptr<Call> call = call_;
+    if (call->finished) {
+      if (network_.tap_ != nullptr) network_.tap_->answered_again(call->facts);
+      co_return false;
+    }
+    call->finished = true;
+    if (call->server.over) co_return false;
+    if (last) pass_on(std::move(*last));
+    if (network_.tap_ != nullptr) network_.tap_->answer_left(call->facts, status);
+    CallEnd end{std::move(status), std::move(trailers)};
+    network_.end_at_server(call);
+    const auto losing = network_.losing_.find(call->facts.address);
+    if (losing != network_.losing_.end() && losing->second > 0) {
+      --losing->second;
+      network_.break_connection(call->connection, true, true);
+      co_return false;
+    }
+    Network* const network = &network_;
+    network_.send(call->connection, false,
+                  [network, call, end = std::move(end)] { network->end_at_client(call, end, true); });
+    co_return true;
+  }
+
+  void break_off() {
+    if (call_->finished || call_->server.over) return;
+    call_->finished = true;
+    network_.end_at_server(call_);
+    Network* const network = &network_;
+    network_.send(call_->connection, false, [network, call = call_] {
+      network->end_at_client(call, made_up(Code::kCancelled, "the server broke the call off"), false);
+    });
+  }
+
+ private:
+  void pass_on(std::string message) {
+    network_.send(call_->connection, false, [call = call_, message = std::move(message)] {
+      if (call->client.over) return;
+      call->client.in.push_back(message);
+      call->client.readable.give();
+    });
+  }
+
+  Network& network_;
+  const std::shared_ptr<Call> call_;
+  const std::string peer_ = call_->facts.client + "#" + std::to_string(call_->connection->number);
+};
+
+class Network::ClientEnd : public rpc::ClientCall {
+ public:
+  ClientEnd(Network& network, std::shared_ptr<Call> call) : network_(network), call_(std::move(call)) {}
+  ~ClientEnd() override { cancel(); }
+
+  Awaitable<bool> write(std::string message, bool last) override {
+    const std::shared_ptr<Call> call = call_;
+    if (call->client.over) co_return false;
+    call->client.unread += message.size();
+    const bool first = !call->started;
+    if (first) start();
+    Network* const network = &network_;
+    network_.send(call->connection, true, [network, call, message = std::move(message), last, first] {
+      if (first) network->arrive(call);
+      if (call->server.over) return;
+      if (message.size() > call->listener->max_message_bytes) {
+        network->end_at_server(call);
+        network->send(call->connection, false, [network, call] {
+          network->end_at_client(call, made_up(Code::kResourceExhausted, "a message is too large"), false);
+        });
+        return;
+      }
+      call->server.in.push_back(message);
+      call->server.in_end = last;
+      call->server.readable.give();
+    });
+    while (call->client.unread > network_.terms_.window_bytes && !call->client.over)
+      co_await call->client.writable.wait();
+    co_return !call->client.over;
+  }
+
+  Awaitable<std::optional<std::string>> read() override {
+    const std::shared_ptr<Call> call = call_;
+    Network& network = network_;
+    while (call->client.in.empty() && !call->client.over) co_await call->client.readable.wait();
+    if (call->client.in.empty()) co_return std::nullopt;
+    std::string message = std::move(call->client.in.front());
+    call->client.in.pop_front();
+    network.send(call->connection, true, [call, n = message.size()] {
+      call->server.unread -= std::min(n, call->server.unread);
+      call->server.writable.give();
+    });
+    co_return message;
+  }
+
+  Awaitable<CallEnd> finish() override {
+    const std::shared_ptr<Call> call = call_;
+    while (!call->end) co_await call->ended.wait();
+    co_return *call->end;
+  }
+
+  void cancel() override {
+    if (call_->client.over) return;
+    call_->client.in.clear();
+    tell_server();
+    network_.end_at_client(call_, made_up(Code::kCancelled, "cancelled"), false);
+  }
+
+ private:
+  void start() {
+    call_->started = true;
+    ++network_.open_calls_;
+    CallFacts& facts = call_->facts;
+    facts.asked_at = network_.world_.now();
+    if (call_->allow > 0) {
+      facts.deadline_at = facts.asked_at + call_->allow;
+      Network* const network = &network_;
+      call_->connection->client->call_after(call_->allow, [network, weak = std::weak_ptr<Call>(call_)] {
+        const std::shared_ptr<Call> call = weak.lock();
+        if (!call || call->client.over) return;
+        tell_server(*network, call);
+        network->end_at_client(call, made_up(Code::kDeadlineExceeded, "the time is up"), false);
+      });
+    }
+    if (network_.tap_ != nullptr) network_.tap_->call_left(facts);
+  }
+  void tell_server() {
+    if (call_->started) tell_server(network_, call_);
+  }
+  static void tell_server(Network& network, const std::shared_ptr<Call>& call) {
+    network.send(call->connection, true, [&network, call] { network.end_at_server(call); });
+  }
+
+  Network& network_;
+  const std::shared_ptr<Call> call_;
+};
+
+// A call's server learns that it is over without its doing, or has ended it itself.
+void Network::end_at_server(const std::shared_ptr<Call>& call) {
+  if (call->server.over) return;
+  call->server.over = true;
+  if (!call->finished) {
+    call->cancelled = true;
+    call->server.in.clear();
+  }
+  call->server.readable.give();
+  call->server.writable.give();
+  // What it holds may hold the call.
+  const std::function<void()> fn = std::exchange(call->on_cancelled, nullptr);
+  if (call->cancelled && fn) fn();
+}
+
+void Network::end_at_client(const std::shared_ptr<Call>& call, CallEnd end, bool from_server) {
+  if (call->client.over) return;
+  call->client.over = true;
+  call->end = std::move(end);
+  if (call->started) {
+    --open_calls_;
+    if (tap_ != nullptr) tap_->call_over(call->facts, *call->end, from_server);
+  }
+  call->client.readable.give();
+  call->client.writable.give();
+  call->ended.give();
+}
+
+// A call's first message is at the server.
+void Network::arrive(const std::shared_ptr<Call>& call) {
+  call->listener = call->connection->server;
+  call->facts.server = call->listener->actor->name();
+  if (!call->listener->open) {
+    call->server.over = true;
+    send(call->connection, false,
+         [this, call] { end_at_client(call, made_up(Code::kUnavailable, "the server has closed"), false); });
+    return;
+  }
+  if (call->allow > 0) {
+    // gRPC tells a server up to 4% more than the client waits; GrpcServer takes as much off.
+    const auto told = static_cast<TimeUs>(static_cast<double>(call->allow) *
+                                          (1 + 0.04 * call->connection->random.uniform()));
+    call->allowed = told - told / 25;
+    call->listener->actor->call_after(told, [this, weak = std::weak_ptr<Call>(call)] {
+      if (const std::shared_ptr<Call> c = weak.lock()) end_at_server(c);
+    });
+  }
+  if (tap_ != nullptr) tap_->call_arrived(call->facts);
+  ++call->listener->running;
+  boost::asio::co_spawn(
+      world_.executor(),
+      [](Network* network, std::shared_ptr<Call> c) -> Awaitable<void> {
+        const std::shared_ptr<Listener> listener = c->listener;
+        const auto end = std::make_shared<ServerEnd>(*network, c);
+        co_await listener->handler(end);
+        end->break_off();
+        --listener->running;
+      }(this, call),
+      boost::asio::detached);
+}
+
+// ---- Channels --------------------------------------------------------------------------------------------
+
+class Network::Channel : public rpc::Channel {
+ public:
+  Channel(Network& network, std::shared_ptr<Actor> actor, std::string address)
+      : network_(network), actor_(std::move(actor)), address_(std::move(address)) {}
+  ~Channel() override {
+    if (connection_) network_.break_connection(connection_, false, true);
+  }
+
+  Awaitable<bool> connect(TimeUs within) override {
+    if (up()) co_return true;
+    const auto waiter = std::make_shared<Waiter>();
+    begin();
+    if (!connecting_) co_return false;
+    waiters_.push_back(waiter);
+    actor_->call_after(within, [waiter] { waiter->tell(false); });
+    co_await waiter->told.wait();
+    co_return waiter->result;
+  }
+
+  std::unique_ptr<rpc::ClientCall> call(std::string method, rpc::Metadata metadata, TimeUs allow) override {
+    auto call = std::make_shared<Call>();
+    call->facts.id = ++network_.last_call_;
+    call->facts.client = actor_->name();
+    call->facts.address = address_;
+    call->facts.method = std::move(method);
+    call->facts.metadata = std::move(metadata);
+    call->allow = allow;
+    if (!up()) begin();
+    call->connection = connection_;
+    if (!connection_) {
+      call->client.over = true;
+      call->end = made_up(Code::kUnavailable, "no connection to " + address_);
+    } else {
+      connection_->calls.push_back(call);
+    }
+    return std::make_unique<ClientEnd>(network_, std::move(call));
+  }
+
+ private:
+  struct Waiter {
+    Signal told;
+    bool result = false, done = false;
+    void tell(bool r) {
+      if (std::exchange(done, true)) return;
+      result = r;
+      told.give();
+    }
+  };
+
+  bool up() const { return connection_ && connection_->state == Connection::State::kUp; }
+
+  // Begins a connection where none stands or comes about, unless the last has just failed.
+  void begin() {
+    if (connection_ && connection_->state != Connection::State::kBroken) return;
+    connection_ = nullptr;
+    connecting_ = false;
+    if (actor_->now() < not_before_) return;
+    connecting_ = true;
+    connection_ = network_.connect(actor_, address_, [this, alive = std::weak_ptr<bool>(alive_)](bool ok) {
+      if (alive.expired()) return;
+      connecting_ = false;
+      if (!ok) not_before_ = actor_->now() + kReconnectPauseUs;
+      for (const auto& w : std::exchange(waiters_, {})) w->tell(ok);
+    });
+  }
+
+  Network& network_;
+  const std::shared_ptr<Actor> actor_;
+  const std::string address_;
+  std::shared_ptr<Connection> connection_;
+  bool connecting_ = false;
+  TimeUs not_before_ = 0;
+  std::vector<std::shared_ptr<Waiter>> waiters_;
+  const std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+class Network::Factory : public rpc::ChannelFactory {
+ public:
+  Factory(Network& network, std::shared_ptr<Actor> actor) : network_(network), actor_(std::move(actor)) {}
+  std::unique_ptr<rpc::Channel> open(const std::string& address) override {
+    return std::make_unique<Channel>(network_, actor_, address);
+  }
+
+ private:
+  Network& network_;
+  const std::shared_ptr<Actor> actor_;
+};
+
+// ---- Network ---------------------------------------------------------------------------------------------
+
+Network::Network(World& world, LinkTerms terms, NetworkTap* tap) : world_(world), terms_(terms), tap_(tap) {}
+
+Network::~Network() = default;
+
+std::unique_ptr<rpc::ChannelFactory> Network::channels(std::shared_ptr<Actor> actor) {
+  return std::make_unique<Factory>(*this, std::move(actor));
+}
+
+std::shared_ptr<Network::Listener> Network::listen(const std::string& address, std::shared_ptr<Actor> actor,
+                                                   rpc::ServerHandler handler, size_t max_message_bytes) {
+  auto listener = std::make_shared<Listener>();
+  listener->address = address;
+  listener->actor = std::move(actor);
+  listener->handler = std::move(handler);
+  listener->max_message_bytes = max_message_bytes;
+  listeners_[address] = listener;
+  return listener;
+}
+
+void Network::close(const std::shared_ptr<Listener>& listener) {
+  listener->open = false;
+  const auto it = listeners_.find(listener->address);
+  if (it != listeners_.end() && it->second == listener) listeners_.erase(it);
+  for_connections("", listener->address, [&](const std::shared_ptr<Connection>& c) {
+    if (c->server != listener) return;
+    const std::vector<std::weak_ptr<Call>> calls = c->calls;
+    break_connection(c, true, false);
+    for (const auto& weak : calls)  // here at once; its process may be dead and hear of nothing later
+      if (const std::shared_ptr<Call> call = weak.lock(); call && call->listener) end_at_server(call);
+  });
+}
+
+size_t Network::running(const std::shared_ptr<Listener>& listener) const { return listener->running; }
+
+std::shared_ptr<Network::Connection> Network::connect(const std::shared_ptr<Actor>& client,
+                                                      const std::string& address,
+                                                      std::function<void(bool)> done) {
+  // A stream for each connection, by its own name.
+  const uint64_t nth = ++made_[{client->name(), address}];
+  auto c = std::make_shared<Connection>(
+      world_.stream("connection/" + client->name() + "/" + address + "/" + std::to_string(nth)));
+  c->number = ++last_connection_;
+  c->address = address;
+  c->client = client;
+  connections_[c->number] = c;
+  if (matches(swallowing_, address)) return c;  // no word ever comes
+  const auto it = listeners_.find(address);
+  const bool refused = it == listeners_.end() || matches(refusing_, address);
+  if (!refused) c->server = it->second;
+  send(c, true, [this, c, refused, done = std::move(done)] {
+    // The kernel answers, whatever the process is doing.
+    const bool stands = !refused && c->server->open;
+    send(c, false, [c, stands, done] {
+      c->state = stands ? Connection::State::kUp : Connection::State::kBroken;
+      done(stands);
+      if (!stands)
+        for (const auto& weak : c->calls)
+          if (const auto call = weak.lock(); call && !call->client.over) {
+            call->client.over = true;
+            call->end = made_up(Code::kUnavailable, "no connection to " + c->address);
+          }
+    });
+  });
+  return c;
+}
+
+void Network::send(const std::shared_ptr<Connection>& connection, bool to_server, std::function<void()> fn) {
+  if (!connection || connection->state == Connection::State::kBroken) return;
+  if (connection->cut) {
+    connection->held.emplace_back(to_server, std::move(fn));
+    return;
+  }
+  const TimeUs way = terms_.base_us + static_cast<TimeUs>(connection->random.exponential(terms_.jitter_us)) +
+                     slowed(connection->address);
+  TimeUs& last = connection->arrives[to_server ? 1 : 0];
+  last = std::max(last + 1, world_.now() + way);
+  ++in_flight_;
+  world_.at(last, [this, connection, to_server, fn = std::move(fn)] {
+    --in_flight_;
+    if (connection->state == Connection::State::kBroken) return;
+    if (connection->cut) {  // it was on its way when the line went
+      connection->held.emplace_back(to_server, fn);
+      return;
+    }
+    // Setting up is the kernel's; all else waits where the process stands still.
+    if (to_server && connection->server && connection->state == Connection::State::kUp)
+      connection->server->actor->deliver(fn);
+    else if (to_server)
+      fn();
+    else
+      connection->client->deliver(fn);
+  });
+}
+
+void Network::break_connection(const std::shared_ptr<Connection>& connection, bool tell_client,
+                               bool tell_server) {
+  if (connection->state == Connection::State::kBroken) return;
+  connection->state = Connection::State::kBroken;
+  connection->held.clear();
+  std::vector<std::weak_ptr<Call>> calls = std::exchange(connection->calls, {});
+  const TimeUs way = terms_.base_us + slowed(connection->address);
+  // A side that isn't told has no use for its calls any more: they end at once, where they are.
+  const auto end = [this, calls](bool at_client) {
+    for (const auto& weak : calls) {
+      const std::shared_ptr<Call> call = weak.lock();
+      if (!call) continue;
+      if (at_client)
+        end_at_client(call, made_up(Code::kUnavailable, "the connection broke"), false);
+      else if (call->listener)
+        end_at_server(call);
+    }
+  };
+  ++in_flight_;
+  world_.after(way, [this, connection, end, tell_client, tell_server] {
+    --in_flight_;
+    if (tell_client) connection->client->deliver([end] { end(true); });
+    if (tell_server && connection->server) connection->server->actor->deliver([end] { end(false); });
+  });
+}
+
+void Network::for_connections(const std::string& client, const std::string& address,
+                              const std::function<void(const std::shared_ptr<Connection>&)>& fn) {
+  std::vector<std::shared_ptr<Connection>> found;
+  for (auto it = connections_.begin(); it != connections_.end();) {
+    const std::shared_ptr<Connection> c = it->second.lock();
+    if (!c || c->state == Connection::State::kBroken) {
+      it = connections_.erase(it);
+      continue;
+    }
+    if ((client.empty() || c->client->name() == client) && (address.empty() || c->address == address))
+      found.push_back(c);
+    ++it;
+  }
+  for (const auto& c : found) fn(c);
+}
+
+bool Network::matches(const std::set<std::string>& addresses, const std::string& address) const {
+  return addresses.contains(address) || addresses.contains("");
+}
+
+TimeUs Network::slowed(const std::string& address) const {
+  TimeUs by = 0;
+  for (const std::string& name : {address, std::string()}) {
+    const auto it = slow_.find(name);
+    if (it != slow_.end()) by += it->second;
+  }
+  return by;
+}
+
+void Network::refuse(const std::string& address, bool on) {
+  if (on)
+    refusing_.insert(address);
+  else
+    refusing_.erase(address);
+}
+
+void Network::swallow(const std::string& address, bool on) {
+  if (on)
+    swallowing_.insert(address);
+  else
+    swallowing_.erase(address);
+}
+
+void Network::slow(const std::string& address, TimeUs by_us) {
+  if (by_us > 0)
+    slow_[address] = by_us;
+  else
+    slow_.erase(address);
+}
+
+void Network::cut(const std::string& client, const std::string& address, TimeUs how_long, bool repaired) {
+  for_connections(client, address, [&](const std::shared_ptr<Connection>& c) {
+    c->cut = true;
+    world_.after(how_long, [this, c, repaired] {
+      if (!c->cut) return;
+      c->cut = false;
+      if (!repaired) {
+        break_connection(c, true, true);
+        return;
+      }
+      for (auto& [to_server, fn] : std::exchange(c->held, {})) send(c, to_server, std::move(fn));
+    });
+  });
+}
+
+void Network::reset(const std::string& client, const std::string& address) {
+  for_connections(client, address,
+                  [&](const std::shared_ptr<Connection>& c) { break_connection(c, true, true); });
+}
+
+void Network::lose_answers(const std::string& address, int count) { losing_[address] += count; }
+
+void Network::died(const std::string& actor, bool no_word) {
+  for_connections("", "", [&](const std::shared_ptr<Connection>& c) {
+    const bool is_client = c->client->name() == actor;
+    const bool is_server = c->server && c->server->actor->name() == actor;
+    if (!is_client && !is_server) return;
+    if (no_word && is_server) {
+      c->cut = true;  // its clients find out by their deadlines
+      return;
+    }
+    break_connection(c, !is_client, !is_server);
+  });
+}
+
+}  // namespace sablelink::sim
--- /dev/null
+++ b/src/sim/network.h
@@ -0,0 +1,120 @@
+// A simulated network with the seam of rpc/rpc.h: connections between actors, calls on connections, messages
+// that take their time, in order on one connection and in no order between two. What gRPC's callers can see
+// (tests/transport_test.cpp holds both to it) is kept: corked metadata, deadlines, cancels, statuses that
+// this side makes up, bounded buffers. What goes wrong is ordered by the faults below.
+//
+// Everything on the world's one thread.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "rpc/rpc.h"
+#include "sim/world.h"
+
+namespace sablelink::sim {
+
+// What passes the sockets, for an observer; of calls alone.
+struct CallFacts {
+  uint64_t id = 0;
+  std::string client, server;  // actors' names
+  std::string address;
+  std::string method;
+  rpc::Metadata metadata;
+  TimeUs asked_at = 0;     // when its first message left the client
+  TimeUs deadline_at = 0;  // of the world's time, by which the client gives up; 0: never
+};
+
+class NetworkTap {
+ public:
+  virtual ~NetworkTap() = default;
+  virtual void call_left(const CallFacts&) {}                        // the client's first message is out
+  virtual void call_arrived(const CallFacts&) {}                     // at the server
+  virtual void answer_left(const CallFacts&, const rpc::Status&) {}  // the server's end is out
+  virtual void answered_again(const CallFacts&) {}                   // a server that ends a call twice
+  virtual void call_over(const CallFacts&, const rpc::CallEnd&, bool /*from_server*/) {}  // at the client
+};
+
+struct LinkTerms {
+  TimeUs base_us = 150;            // one way
+  double jitter_us = 150;          // mean of an exponential
+  size_t window_bytes = 64 << 10;  // unread bytes of a call, each way
+};
+
+class Network {
+ public:
+  Network(World& world, LinkTerms terms, NetworkTap* tap = nullptr);
+  ~Network();
+  Network(const Network&) = delete;
+  Network& operator=(const Network&) = delete;
+
+  // Channels of an actor; the factory must be gone, and its calls over, before the network is.
+  std::unique_ptr<rpc::ChannelFactory> channels(std::shared_ptr<Actor> actor);
+
+  // Serves calls at an address until the listener is closed.
+  class Listener;
+  std::shared_ptr<Listener> listen(const std::string& address, std::shared_ptr<Actor> actor,
+                                   rpc::ServerHandler handler, size_t max_message_bytes = 16 << 20);
+  // Breaks off what it serves, as shutdown(0) of a server; handlers end by themselves.
+  void close(const std::shared_ptr<Listener>& listener);
+  // Calls that its handlers haven't ended.
+  size_t running(const std::shared_ptr<Listener>& listener) const;
+
+  // ---- Faults. An address "" means all. -------------------------------------------------------------------
+  void refuse(const std::string& address, bool on);     // connections are refused at once
+  void swallow(const std::string& address, bool on);    // connections never come about
+  void slow(const std::string& address, TimeUs by_us);  // added to every message, each way; 0: over
+  // Nothing passes between the two any more and neither hears of it; at the end either all that was sent
+  // arrives, as from a line that was repaired, or the connections break.
+  void cut(const std::string& client, const std::string& address, TimeUs how_long, bool repaired);
+  void reset(const std::string& client, const std::string& address);  // connections that stand break at once
+  // The next so many answers of the address are lost: the connection breaks as they leave.
+  void lose_answers(const std::string& address, int count);
+  // An actor that has died: its connections break on the other side, or just fall silent (no_word).
+  void died(const std::string& actor, bool no_word);
+
+  // Messages on their way and calls not over; both 0 in a quiet world.
+  size_t in_flight() const { return in_flight_; }
+  size_t open_calls() const { return open_calls_; }
+
+ private:
+  friend class Channel;
+  friend class ClientEnd;
+  friend class ServerEnd;
+  struct Connection;
+  struct Call;
+  class Channel;
+  class ClientEnd;
+  class ServerEnd;
+  class Factory;
+
+  std::shared_ptr<Connection> connect(const std::shared_ptr<Actor>& client, const std::string& address,
+                                      std::function<void(bool)> done);
+  // To the server or to the client of a connection, after the way's time; dropped where it has broken.
+  void send(const std::shared_ptr<Connection>& connection, bool to_server, std::function<void()> fn);
+  void break_connection(const std::shared_ptr<Connection>& connection, bool tell_client, bool tell_server);
+  void end_at_client(const std::shared_ptr<Call>& call, rpc::CallEnd end, bool from_server);
+  void end_at_server(const std::shared_ptr<Call>& call);
+  void arrive(const std::shared_ptr<Call>& call);
+  TimeUs slowed(const std::string& address) const;
+  bool matches(const std::set<std::string>& addresses, const std::string& address) const;
+  void for_connections(const std::string& client, const std::string& address,
+                       const std::function<void(const std::shared_ptr<Connection>&)>& fn);
+
+  World& world_;
+  const LinkTerms terms_;
+  NetworkTap* const tap_;
+  std::map<std::string, std::shared_ptr<Listener>> listeners_;    // by address
+  std::map<uint64_t, std::weak_ptr<Connection>> connections_;     // by number
+  std::map<std::pair<std::string, std::string>, uint64_t> made_;  // connections, by client and address
+  std::set<std::string> refusing_, swallowing_;
+  std::map<std::string, TimeUs> slow_;
+  std::map<std::string, int> losing_;
+  uint64_t last_connection_ = 0, last_call_ = 0;
+  size_t in_flight_ = 0, open_calls_ = 0;
+};
+
+}  // namespace sablelink::sim
--- /dev/null
+++ b/src/sim/world.cpp
@@ -0,0 +1,150 @@
+#include "sim/world.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace sablelink::sim {
+
+RandomStream::RandomStream(uint64_t seed, std::string_view name) {
+  const uint64_t id = XXH3_64bits(name.data(), name.size());
+  counter_ = {{0, 0, static_cast<uint32_t>(id), static_cast<uint32_t>(id >> 32)}};
+  key_ = {{static_cast<uint32_t>(seed), static_cast<uint32_t>(seed >> 32)}};
+}
+
+// ---- Account ---------------------------------------------------------------------------------------------
+
+Account::Account(bool keep_lines) : keep_(keep_lines), state_(XXH3_createState()) {
+  XXH3_64bits_reset(state_);
+}
+
+Account::~Account() { XXH3_freeState(state_); }
+
+void Account::line(TimeUs at, std::string_view text) {
+  ++count_;
+  XXH3_64bits_update(state_, &at, sizeof(at));
+  XXH3_64bits_update(state_, text.data(), text.size());
+  if (!keep_) return;
+  char time[32];
+  std::snprintf(time, sizeof(time), "%12.6f  ", static_cast<double>(at) / 1e6);
+  text_ += time;
+  text_ += text;
+  text_ += '\n';
+}
+
+uint64_t Account::digest() const { return XXH3_64bits_digest(state_); }
+
+// ---- World -----------------------------------------------------------------------------------------------
+
+World::World(uint64_t seed, Account& account)
+    : seed_(seed), account_(account), context_(1), guard_(context_.get_executor()) {}
+
+World::~World() = default;
+
+void World::at(TimeUs when, std::function<void()> fn) {
+  events_.push_back({std::max(when, now_), orders_++, std::move(fn)});
+  std::push_heap(events_.begin(), events_.end());
+}
+
+bool World::step() {
+  if (events_.empty()) return false;
+  std::pop_heap(events_.begin(), events_.end());
+  const Event event = std::move(events_.back());
+  events_.pop_back();
+  now_ = event.at;
+  ++steps_;
+  event.fn();
+  settle();
+  return true;
+}
+
+void World::run_until(TimeUs when) {
+  while (!events_.empty() && events_.front().at <= when) step();
+  now_ = std::max(now_, when);
+}
+
+void World::settle() { context_.poll(); }
+
+// ---- Actor -----------------------------------------------------------------------------------------------
+
+std::shared_ptr<Actor> Actor::make(World& world, std::string name) {
+  return std::shared_ptr<Actor>(new Actor(world, std::move(name)));
+}
+
+void Actor::call_after(TimeUs delay, std::function<void()> fn) {
+  if (!alive_) return;
+  timers_.push_back({now() + std::max<TimeUs>(delay, 0), orders_++, std::move(fn)});
+  std::push_heap(timers_.begin(), timers_.end());
+  arm();
+}
+
+// One event of the world for the earliest timer. An event that comes for nothing is harmless.
+void Actor::arm() {
+  if (timers_.empty()) return;
+  const TimeUs at = std::max(timers_.front().at - ahead_, stalled_until_);
+  if (armed_for_ != 0 && armed_for_ <= at) return;
+  armed_for_ = std::max(at, world_.now());
+  world_.at(armed_for_, [self = weak_from_this(), at = armed_for_] {
+    const std::shared_ptr<Actor> actor = self.lock();
+    if (!actor || !actor->alive_) return;
+    if (actor->armed_for_ == at) actor->armed_for_ = 0;
+    actor->wake();
+  });
+}
+
+void Actor::wake() {
+  if (stalled()) {
+    arm();
+    return;
+  }
+  while (!inbox_.empty()) {
+    const std::function<void()> fn = std::move(inbox_.front());
+    inbox_.pop_front();
+    fn();
+    if (!alive_) return;
+    world_.settle();
+  }
+  const TimeUs until = now();
+  while (!timers_.empty() && timers_.front().at <= until) {
+    std::pop_heap(timers_.begin(), timers_.end());
+    const std::function<void()> fn = std::move(timers_.back().fn);
+    timers_.pop_back();
+    fn();
+    if (!alive_) return;
+    world_.settle();
+  }
+  arm();
+}
+
+void Actor::deliver(std::function<void()> fn) {
+  if (!alive_) return;
+  if (stalled() || !inbox_.empty())
+    inbox_.push_back(std::move(fn));
+  else
+    fn();
+}
+
+void Actor::stall(TimeUs how_long) {
+  if (!alive_) return;
+  stalled_until_ = std::max(stalled_until_, world_.now() + how_long);
+  world_.at(stalled_until_, [self = weak_from_this()] {
+    const std::shared_ptr<Actor> actor = self.lock();
+    if (actor && actor->alive_) actor->wake();
+  });
+}
+
+void Actor::jump(TimeUs ahead) {
+  ahead_ += ahead;
+  if (!alive_) return;
+  armed_for_ = 0;  // the event that is out comes too late
+  arm();
+}
+
+void Actor::kill() {
+  alive_ = false;
+  timers_.clear();
+  inbox_.clear();
+}
+
+}  // namespace sablelink::sim
--- /dev/null
+++ b/tests/transport_test.cpp
@@ -0,0 +1,424 @@
+// One suite for both transports behind rpc/rpc.h, gRPC on loopback sockets and the simulated network, so that
+// what the simulation shows holds on the sockets.
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <chrono>
+#include <memory>
+#include <thread>
+
+#include "base/signal.h"
+#include "rpc/grpc_client.h"
+#include "rpc/grpc_loop.h"
+#include "rpc/grpc_server.h"
+#include "sim/network.h"
+
+namespace sablelink {
+namespace {
+
+using rpc::Awaitable;
+using rpc::CallEnd;
+using rpc::Code;
+using CallPtr = std::shared_ptr<rpc::ServerCall>;
+constexpr TimeUs kMs = 1000, kSecond = 1'000'000;
+
+class Transport {
+ public:
+  virtual ~Transport() = default;
+  virtual std::string serve(rpc::ServerHandler handler, size_t max_message_bytes) = 0;
+  virtual Clock& server_clock() = 0;
+  virtual Clock& client_clock() = 0;
+  virtual void stop_server() = 0;
+  virtual std::unique_ptr<rpc::Channel> open(const std::string& address) = 0;
+  virtual std::string unused_address() = 0;
+  // Runs a client's doings to their end.
+  virtual void run(Awaitable<void> work) = 0;
+  // Until a condition holds; false where it never does.
+  virtual bool wait_for(const std::function<bool()>& condition) = 0;
+};
+
+class GrpcTransport : public Transport {
+ public:
+  GrpcTransport()
+      : server_loop_(wall(), steady()), client_loop_(wall(), steady()), channels_({}, client_loop_) {}
+  ~GrpcTransport() override { stop_server(); }
+
+  std::string serve(rpc::ServerHandler handler, size_t max_message_bytes) override {
+    rpc::GrpcServerOptions options;
+    options.address = "127.0.0.1:0";
+    options.max_message_bytes = static_cast<int>(max_message_bytes);
+    server_ = std::make_unique<rpc::GrpcServer>(options, server_loop_, std::move(handler));
+    return "127.0.0.1:" + std::to_string(server_->port());
+  }
+  Clock& server_clock() override { return server_loop_; }
+  Clock& client_clock() override { return client_loop_; }
+  void stop_server() override {
+    if (server_) server_->shutdown(0);
+  }
+  std::unique_ptr<rpc::Channel> open(const std::string& address) override { return channels_.open(address); }
+  std::string unused_address() override {
+    rpc::GrpcLoop loop(wall(), steady());
+    rpc::GrpcServerOptions options;
+    options.address = "127.0.0.1:0";
+    rpc::GrpcServer server(options, loop, [](CallPtr) -> Awaitable<void> { co_return; });
+    return "127.0.0.1:" + std::to_string(server.port());
+  }
+  void run(Awaitable<void> work) override { client_loop_.spawn(std::move(work)).get(); }
+  bool wait_for(const std::function<bool()>& condition) override {
+    for (int i = 0; i < 10'000; ++i) {
+      if (condition()) return true;
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    return false;
+  }
+
+ private:
+  static rpc::WallClock wall() {
+    return [] { return std::chrono::system_clock::now(); };
+  }
+  static rpc::SteadyClock steady() {
+    return [] { return std::chrono::steady_clock::now(); };
+  }
+  rpc::GrpcLoop server_loop_, client_loop_;
+  rpc::GrpcChannelFactory channels_;
+  std::unique_ptr<rpc::GrpcServer> server_;
+};
+
+class SimTransport : public Transport {
+ public:
+  std::string serve(rpc::ServerHandler handler, size_t max_message_bytes) override {
+    listener_ = network_.listen("server", server_, std::move(handler), max_message_bytes);
+    return "server";
+  }
+  Clock& server_clock() override { return *server_; }
+  Clock& client_clock() override { return *client_; }
+  void stop_server() override { network_.close(listener_); }
+  std::unique_ptr<rpc::Channel> open(const std::string& address) override { return channels_->open(address); }
+  std::string unused_address() override { return "nobody"; }
+  void run(Awaitable<void> work) override {
+    bool done = false;
+    boost::asio::co_spawn(world_.executor(), std::move(work), [&](const std::exception_ptr& error) {
+      done = true;
+      if (error) std::rethrow_exception(error);
+    });
+    world_.settle();
+    while (!done && world_.step()) continue;
+    ASSERT_TRUE(done) << "nothing is left to come, and the client still waits";
+  }
+  bool wait_for(const std::function<bool()>& condition) override {
+    while (!condition())
+      if (!world_.step()) return condition();
+    return true;
+  }
+
+ private:
+  sim::Account account_;
+  sim::World world_{7, account_};
+  sim::Network network_{world_, {}};
+  std::shared_ptr<sim::Actor> server_ = sim::Actor::make(world_, "server");
+  std::shared_ptr<sim::Actor> client_ = sim::Actor::make(world_, "client");
+  std::unique_ptr<rpc::ChannelFactory> channels_ = network_.channels(client_);
+  std::shared_ptr<sim::Network::Listener> listener_;
+};
+
+enum class Kind { kGrpc, kSim };
+
+class TransportTest : public testing::TestWithParam<Kind> {
+ public:
+  void SetUp() override {
+    if (GetParam() == Kind::kGrpc)
+      transport_ = std::make_unique<GrpcTransport>();
+    else
+      transport_ = std::make_unique<SimTransport>();
+  }
+  void TearDown() override {
+    channel_.reset();
+    transport_.reset();
+  }
+  void serve(rpc::ServerHandler handler, size_t max_message_bytes = 4 << 20) {
+    channel_ = transport_->open(transport_->serve(std::move(handler), max_message_bytes));
+  }
+  std::unique_ptr<rpc::ClientCall> call(TimeUs allow = 10 * kSecond, rpc::Metadata metadata = {}) {
+    return channel_->call("/s/Method", std::move(metadata), allow);
+  }
+  static Awaitable<void> pause(Clock& clock, TimeUs how_long) {
+    Signal over;
+    clock.call_after(how_long, [&over] { over.give(); });
+    co_await over.wait();
+  }
+  // Ends a call well, with a last message where given.
+  static Awaitable<void> end_well(CallPtr call, std::optional<std::string> last) {
+    rpc::Status status;
+    rpc::Metadata trailers;
+    co_await call->finish(std::move(status), std::move(trailers), std::move(last));
+  }
+  // What a call that sends one message ends with; its messages are kept in got_.
+  Awaitable<void> ask(rpc::ClientCall* call, std::string message) {
+    co_await call->write(std::move(message), true);
+    co_await hear(call);
+  }
+  Awaitable<void> connect(bool* connected) { *connected = co_await channel_->connect(5 * kSecond); }
+  static Awaitable<void> say(rpc::ClientCall* to, std::string message) {
+    co_await to->write(std::move(message), true);
+  }
+  // Reads a call to its end.
+  Awaitable<void> hear(rpc::ClientCall* from) {
+    while (std::optional<std::string> m = co_await from->read()) got_.push_back(std::move(*m));
+    end_ = co_await from->finish();
+  }
+  static Awaitable<void> let_go(std::unique_ptr<rpc::ClientCall>* held) {
+    held->reset();
+    co_return;
+  }
+  // Waits in a handler until its call is cancelled.
+  static Awaitable<void> until_cancelled(CallPtr call, std::atomic<int>* cancels) {
+    const auto over = std::make_shared<Signal>();
+    call->on_cancelled([over, cancels] {
+      ++*cancels;
+      over->give();
+    });
+    co_await over->wait();
+  }
+
+  std::unique_ptr<Transport> transport_;
+  std::unique_ptr<rpc::Channel> channel_;
+  std::vector<std::string> got_;
+  CallEnd end_;
+};
+
+TEST_P(TransportTest, MessagesMetadataStatusAndTrailersArriveWhole) {
+  std::string method, seen;
+  std::vector<std::string> messages;
+  serve([&](CallPtr call) -> Awaitable<void> {
+    method = call->method();
+    seen = rpc::find_value(call->metadata(), "x-a");
+    while (std::optional<std::string> m = co_await call->read()) messages.push_back(std::move(*m));
+    for (int i = 0; i < 3; ++i) {
+      std::string answer = "answer " + std::to_string(i);
+      co_await call->write(std::move(answer));
+    }
+    rpc::Status status{Code::kAborted, "so it ends", std::string("de\0tails", 8)};
+    rpc::Metadata trailers{{"x-end", "here"}, {"x-raw-bin", std::string("\0\xff", 2)}};
+    std::optional<std::string> last;
+    co_await call->finish(std::move(status), std::move(trailers), std::move(last));
+  });
+  auto c = call(kSecond, {{"x-a", "b"}});
+  transport_->run([](TransportTest* t, rpc::ClientCall* to) -> Awaitable<void> {
+    std::string first = "one";
+    co_await to->write(std::move(first), false);
+    std::string second = "two";
+    co_await t->ask(to, std::move(second));
+  }(this, c.get()));
+  EXPECT_EQ(method, "/s/Method");
+  EXPECT_EQ(seen, "b");
+  EXPECT_EQ(messages, (std::vector<std::string>{"one", "two"}));
+  EXPECT_EQ(got_, (std::vector<std::string>{"answer 0", "answer 1", "answer 2"}));
+  EXPECT_EQ(end_.status.code, Code::kAborted);
+  EXPECT_EQ(end_.status.message, "so it ends");
+  EXPECT_EQ(end_.status.details, std::string("de\0tails", 8));
+  EXPECT_EQ(rpc::find_value(end_.trailers, "x-end"), "here");
+  EXPECT_EQ(rpc::find_value(end_.trailers, "x-raw-bin"), std::string_view("\0\xff", 2));
+}
+
+TEST_P(TransportTest, ALastMessageComesWithTheEnd) {
+  serve([](CallPtr call) -> Awaitable<void> { co_await end_well(call, "last"); });
+  auto c = call();
+  transport_->run(ask(c.get(), "m"));
+  EXPECT_EQ(got_, std::vector<std::string>{"last"});
+  EXPECT_EQ(end_.status.code, Code::kOk);
+}
+
+TEST_P(TransportTest, AnEmptyMessageIsAMessage) {
+  size_t read = 0;
+  serve([&](CallPtr call) -> Awaitable<void> {
+    while (co_await call->read()) ++read;
+    co_await end_well(call, "");
+  });
+  auto c = call();
+  transport_->run(ask(c.get(), ""));
+  EXPECT_EQ(read, 1u);
+  EXPECT_EQ(got_, std::vector<std::string>{""});
+}
+
+TEST_P(TransportTest, WhereNobodyListensThereIsNoConnection) {
+  channel_ = transport_->open(transport_->unused_address());
+  bool connected = true;
+  transport_->run(connect(&connected));
+  EXPECT_FALSE(connected);
+  auto c = call(2 * kSecond);
+  transport_->run(ask(c.get(), "m"));
+  EXPECT_EQ(end_.status.code, Code::kUnavailable);
+  EXPECT_TRUE(end_.trailers.empty());
+}
+
+TEST_P(TransportTest, AConnectionThatStandsIsTold) {
+  serve([](CallPtr call) -> Awaitable<void> { co_await end_well(call, std::nullopt); });
+  bool first = false, second = false;
+  transport_->run(connect(&first));
+  transport_->run(connect(&second));
+  EXPECT_TRUE(first);
+  EXPECT_TRUE(second);
+}
+
+TEST_P(TransportTest, TheDeadlineEndsACallOnBothSides) {
+  std::atomic<int> cancels{0};
+  std::atomic<TimeUs> allowed{0};
+  serve([&](CallPtr call) -> Awaitable<void> {
+    allowed = call->allowed().value_or(-1);
+    co_await until_cancelled(call, &cancels);
+  });
+  auto c = call(150 * kMs);
+  transport_->run(ask(c.get(), "m"));
+  EXPECT_EQ(end_.status.code, Code::kDeadlineExceeded);
+  EXPECT_TRUE(end_.trailers.empty());
+  EXPECT_TRUE(transport_->wait_for([&] { return cancels == 1; }));
+  EXPECT_LE(allowed, 150 * kMs);
+  EXPECT_GT(allowed, 75 * kMs);
+}
+
+TEST_P(TransportTest, WithoutATimeoutNoneIsTold) {
+  std::atomic<bool> none{false};
+  serve([&](CallPtr call) -> Awaitable<void> {
+    none = !call->allowed().has_value();
+    co_await end_well(call, std::nullopt);
+  });
+  auto c = call(0);
+  transport_->run(ask(c.get(), "m"));
+  EXPECT_TRUE(none);
+}
+
+TEST_P(TransportTest, ACancelReachesTheServerOnce) {
+  std::atomic<int> cancels{0}, begun{0};
+  serve([&](CallPtr call) -> Awaitable<void> {
+    ++begun;
+    co_await until_cancelled(call, &cancels);
+    std::string late = "late";
+    const bool written = co_await call->write(std::move(late));
+    EXPECT_FALSE(written);
+    EXPECT_TRUE(call->cancelled());
+  });
+  auto c = call();
+  transport_->run(say(c.get(), "m"));
+  ASSERT_TRUE(transport_->wait_for([&] { return begun == 1; }));
+  transport_->run([](TransportTest* t, rpc::ClientCall* to) -> Awaitable<void> {
+    to->cancel();
+    co_await t->hear(to);
+  }(this, c.get()));
+  EXPECT_EQ(end_.status.code, Code::kCancelled);
+  EXPECT_TRUE(transport_->wait_for([&] { return cancels == 1; }));
+}
+
+TEST_P(TransportTest, ACallThatIsLetGoIsCancelled) {
+  std::atomic<int> cancels{0}, begun{0};
+  serve([&](CallPtr call) -> Awaitable<void> {
+    ++begun;
+    co_await until_cancelled(call, &cancels);
+  });
+  auto c = call();
+  transport_->run(say(c.get(), "m"));
+  ASSERT_TRUE(transport_->wait_for([&] { return begun == 1; }));
+  transport_->run(let_go(&c));
+  EXPECT_TRUE(transport_->wait_for([&] { return cancels == 1; }));
+}
+
+TEST_P(TransportTest, ACallThatEndedWellIsNeverCancelled) {
+  std::atomic<int> cancels{0};
+  serve([&](CallPtr call) -> Awaitable<void> {
+    call->on_cancelled([&] { ++cancels; });
+    co_await end_well(call, "done");
+  });
+  for (int i = 0; i < 20; ++i) {
+    auto c = call(200 * kMs);
+    transport_->run(ask(c.get(), "m"));
+    EXPECT_EQ(end_.status.code, Code::kOk);
+  }
+  transport_->run(pause(transport_->client_clock(), 400 * kMs));
+  EXPECT_EQ(cancels, 0);
+}
+
+TEST_P(TransportTest, AHandlerThatGoesWithoutAnEndBreaksTheCallOff) {
+  serve([](CallPtr call) -> Awaitable<void> { co_await call->read(); });
+  auto c = call();
+  transport_->run(ask(c.get(), "m"));
+  EXPECT_EQ(end_.status.code, Code::kCancelled);
+  EXPECT_TRUE(end_.trailers.empty());
+}
+
+TEST_P(TransportTest, AServerThatStopsBreaksItsCallsOff) {
+  std::atomic<int> cancels{0}, begun{0};
+  serve([&](CallPtr call) -> Awaitable<void> {
+    ++begun;
+    co_await until_cancelled(call, &cancels);
+  });
+  auto c = call();
+  transport_->run(say(c.get(), "m"));
+  ASSERT_TRUE(transport_->wait_for([&] { return begun == 1; }));
+  transport_->stop_server();
+  transport_->run(hear(c.get()));
+  EXPECT_EQ(end_.status.code, Code::kUnavailable);
+  EXPECT_TRUE(end_.trailers.empty());
+  EXPECT_EQ(cancels, 1);
+}
+
+TEST_P(TransportTest, TooLargeAMessageEndsItsCall) {
+  serve(
+      [](CallPtr call) -> Awaitable<void> {
+        while (co_await call->read()) continue;
+        co_await end_well(call, std::nullopt);
+      },
+      1000);
+  auto c = call();
+  transport_->run(ask(c.get(), std::string(2000, 'x')));
+  EXPECT_EQ(end_.status.code, Code::kResourceExhausted);
+  auto small = call();
+  transport_->run(ask(small.get(), std::string(900, 'x')));
+  EXPECT_EQ(end_.status.code, Code::kOk);
+}
+
+TEST_P(TransportTest, ASlowReaderHoldsTheWriterBack) {
+  constexpr int kMessages = 200;
+  constexpr size_t kBytes = 256 << 10;
+  std::atomic<int> written{0};
+  serve([&](CallPtr call) -> Awaitable<void> {
+    for (int i = 0; i < kMessages; ++i) {
+      std::string m(kBytes, 'm');
+      if (!co_await call->write(std::move(m))) co_return;
+      ++written;
+    }
+    co_await end_well(call, std::nullopt);
+  });
+  auto c = call();
+  transport_->run(say(c.get(), "m"));
+  transport_->run(pause(transport_->client_clock(), 300 * kMs));
+  const int before = written;
+  transport_->run(hear(c.get()));
+  EXPECT_LT(before, kMessages / 2);
+  EXPECT_EQ(got_.size(), size_t{kMessages});
+  EXPECT_EQ(end_.status.code, Code::kOk);
+}
+
+TEST_P(TransportTest, CallsOfOneChannelDontWaitForEachOther) {
+  std::atomic<int> cancels{0};
+  serve([&](CallPtr call) -> Awaitable<void> {
+    const std::optional<std::string> m = co_await call->read();
+    if (m == "wait")
+      co_await until_cancelled(call, &cancels);
+    else
+      co_await end_well(call, "quick");
+  });
+  auto held = call();
+  transport_->run(say(held.get(), "wait"));
+  auto c = call();
+  transport_->run(ask(c.get(), "go"));
+  EXPECT_EQ(got_, std::vector<std::string>{"quick"});
+  transport_->run(let_go(&held));
+  EXPECT_TRUE(transport_->wait_for([&] { return cancels == 1; }));
+}
+
+INSTANTIATE_TEST_SUITE_P(Both, TransportTest, testing::Values(Kind::kGrpc, Kind::kSim),
+                         [](const auto& kind) { return kind.param == Kind::kGrpc ? "Grpc" : "Sim"; });
+
+}  // namespace
+}  // namespace sablelink
