--- a/src/audit/rules.h
+++ b/src/audit/rules.h
@@ -73,6 +73,10 @@
   void node_fell(TimeUs at, const std::string& node);
   void gateway_killed(TimeUs at, const std::string& gateway);
   void gateway_started(TimeUs at, const std::string& gateway);
+  // A gateway's clock went forward: what it waits for may seem over to it so much earlier.
+  void clock_jumped(TimeUs at, const std::string& gateway, TimeUs by) {
+    jumps_[gateway].emplace_back(at, by);
+  }
   // A gateway was told that a node drains or is gone, or that it is ready, again or still.
   void told(TimeUs at, const std::string& gateway, const std::string& node);
   void told_ready(const std::string& gateway, const std::string& node) { told_.erase({gateway, node}); }
@@ -99,6 +103,7 @@
   void found(int rule, std::string what) { findings_.push_back({rule, std::move(what)}); }
   const ClassSettings& class_of(const Client& c) const;
   Attempt* find(const std::string& request, int attempt);
+  TimeUs jumped_within(const std::string& gateway, TimeUs from, TimeUs to) const;
   bool killed_within(const std::string& gateway, TimeUs from, TimeUs to) const;
   bool same_group(const ClassSettings& c, const Attempt& a, const Attempt& b) const;
   void check_overlap(const Request& request, Attempt& a);
@@ -123,9 +128,10 @@
     bool fallen = false;
   };
   std::map<std::string, Cold> cold_;
-  std::map<std::string, std::vector<std::pair<TimeUs, TimeUs>>> down_;  // gateways: killed, up again or 0
-  std::map<std::string, std::deque<TimeUs>> taken_;                     // by gateway
-  std::map<std::string, std::deque<std::pair<TimeUs, int>>> extra_;     // further attempts, by life
+  std::map<std::string, std::vector<std::pair<TimeUs, TimeUs>>> down_;   // gateways: killed, up again or 0
+  std::map<std::string, std::vector<std::pair<TimeUs, TimeUs>>> jumps_;  // of clocks: when, by how much
+  std::map<std::string, std::deque<TimeUs>> taken_;                      // by gateway
+  std::map<std::string, std::deque<std::pair<TimeUs, int>>> extra_;      // further attempts, by life
   std::vector<Finding> findings_;
   std::array<uint64_t, kRules + 1> checked_{};
   uint64_t attempts_ = 0, further_ = 0;
--- a/src/sim/observer.cpp
+++ b/src/sim/observer.cpp
@@ -200,6 +200,11 @@
   stalls_[gateway].emplace_back(world_.now(), until);
 }
 
+void Observer::clock_jumps(const std::string& gateway, TimeUs by) {
+  tell(gateway + "'s clock goes " + std::to_string(by) + " us forward");
+  rules_.clock_jumped(world_.now(), gateway, by);
+}
+
 // Whether a gateway that gave no answer in time couldn't: the answer left in time and was lost on its way,
 // the gateway has died or stood still in that time.
 bool Observer::excused(const Taken& taken, TimeUs ended_at) const {
@@ -233,6 +238,7 @@
       ++ends_.failed;
     }
   } else if (it != taken_.end() && result.status.code == rpc::Code::kDeadlineExceeded &&
+             result.rows == 0 &&  // an answer that flows may outlast its client's time
              !excused(it->second, world_.now())) {
     client.end = ClientRecord::End::kNoAnswer;
     ++ends_.none;
--- a/src/sim/observer.h
+++ b/src/sim/observer.h
@@ -38,6 +38,7 @@
   void gateway_down(const std::string& gateway);
   void gateway_up(const std::string& gateway);
   void gateway_stalls(const std::string& gateway, TimeUs until);
+  void clock_jumps(const std::string& gateway, TimeUs by);
   void node_down(const std::string& node);
   // What a client makes of its try. leaves: it went away by itself.
   void client_ends(audit::ClientRecord client, const flightsql::QueryResult& result, bool leaves);
