--- a/src/cli/simulate.cpp
+++ b/src/cli/simulate.cpp
@@ -126,7 +126,8 @@
     seeds = parse_seeds(options.seeds);
   else if (told.empty())
     seeds = {1, 100};
-  const uint64_t count = told.size() + (seeds.second - seeds.first + (seeds.first <= seeds.second ? 1 : 0));
+  const uint64_t drawn = seeds.first <= seeds.second ? seeds.second - seeds.first + 1 : 0;
+  const uint64_t count = told.size() + drawn;
   const auto world = [&](uint64_t i) {
     return i < told.size() ? told[i] : sim::make_scenario(seeds.first + (i - told.size()));
   };
--- a/tests/sim_test.cpp
+++ b/tests/sim_test.cpp
@@ -116,7 +116,7 @@
                     Planted{Defect::kDrainIgnored, 3, 20}, Planted{Defect::kUnsafeRepeated, 2, 10},
                     Planted{Defect::kKeyedAnywhere, 2, 20}, Planted{Defect::kOrderIgnored, 5, 10},
                     Planted{Defect::kGapIgnored, 5, 20}, Planted{Defect::kPlacementIgnored, 6, 5},
-                    Planted{Defect::kBudgetIgnored, 7, 60}),
+                    Planted{Defect::kBudgetIgnored, 7, 60}, Planted{Defect::kLostTimer, 1, 60}),
     [](const auto& planted) { return std::string(defect_name(planted.param.defect)); });
 
 TEST(Simulation, AFailingWorldIsCutDown) {
@@ -153,5 +153,201 @@
   EXPECT_EQ(r.ends.served, 0u);
 }
 
+// ---- Named hard cases: each must really come about, which its account tells, and keep every rule ----------
+
+struct HardCase {
+  const char* name;
+  const char* text;
+  std::vector<const char*> happens;  // what the account must tell, in this order
+};
+
+class HardCases : public testing::TestWithParam<HardCase> {};
+
+TEST_P(HardCases, KeepEveryRule) {
+  RunOptions keep;
+  keep.keep_account = true;
+  const RunResult r = run(parse_scenario(GetParam().text, GetParam().name), keep);
+  for (const audit::Finding& f : r.findings) ADD_FAILURE() << "rule " << f.rule << ": " << f.what;
+  size_t at = 0;
+  for (const char* line : GetParam().happens) {
+    at = r.account.find(line, at);
+    ASSERT_NE(at, std::string::npos) << "it never came to: " << line;
+  }
+  EXPECT_EQ(r.ends.none, 0u);
+}
+
+constexpr const char* kColdInShift = R"(
+[world]
+seed = 3
+requests = 1500
+cores = 1
+[[trouble]]
+kind = "drain"
+target = 0
+at = "2s"
+for = "500ms"
+[[trouble]]
+kind = "drain"
+target = 1
+at = "2600ms"
+for = "500ms"
+)";
+constexpr const char* kDrainInRetry = R"(
+[world]
+seed = 4
+nodes = 2
+zones = 1
+gateways = 1
+requests = 60
+[[request]]
+at = "2s"
+class = "lookup"
+work = "200ms"
+mishap = "error"
+tries = 1
+[[trouble]]
+kind = "drain"
+target = 0
+at = "2150ms"
+for = "600ms"
+[[trouble]]
+kind = "drain"
+target = 1
+at = "4s"
+for = "600ms"
+)";
+constexpr const char* kLostThenElsewhere = R"(
+[world]
+seed = 5
+zones = 1
+requests = 0
+[[request]]
+at = "1s"
+class = "lookup"
+work = "30ms"
+leaves_after = "20ms"
+tries = 3
+mishap = "lost"
+[[request]]
+at = "1s"
+class = "booking"
+work = "30ms"
+tries = 3
+mishap = "lost"
+)";
+constexpr const char* kUnsafeDies = R"(
+[world]
+seed = 6
+nodes = 1
+zones = 1
+gateways = 1
+[[request]]
+number = 1
+at = "1s"
+class = "ordered"
+key = "k"
+work = "300ms"
+patience = "4s"
+[[request]]
+number = 2
+at = "1050ms"
+class = "ordered"
+key = "k"
+work = "10ms"
+patience = "4s"
+[[trouble]]
+kind = "node_crash"
+at = "1200ms"
+for = "400ms"
+)";
+constexpr const char* kAllDown = R"(
+[world]
+seed = 7
+requests = 300
+[[trouble]]
+kind = "all_down"
+at = "3s"
+for = "800ms"
+)";
+constexpr const char* kRestartInColdWindow = R"(
+[world]
+seed = 8
+requests = 300
+[[trouble]]
+kind = "all_down"
+at = "3s"
+for = "500ms"
+[[trouble]]
+kind = "gateway_crash"
+target = 0
+at = "3600ms"
+for = "200ms"
+)";
+constexpr const char* kTwiceInList = R"(
+[world]
+seed = 9
+requests = 300
+[[trouble]]
+kind = "list_doubles"
+target = 0
+at = "2s"
+for = "3s"
+[[trouble]]
+kind = "drain"
+target = 1
+at = "3s"
+for = "500ms"
+)";
+
+INSTANTIATE_TEST_SUITE_P(
+    Named, HardCases,
+    testing::Values(
+        HardCase{"AColdNodeInATrafficShift",
+                 kColdInShift,
+                 {"told that n0 drains", "n0 dies", "n0 starts", "told that n0 is ready", "to n0", "n0 has"}},
+        HardCase{"ADrainDuringARetry", kDrainInRetry, {"trouble drain 0", "told that n0 drains", "n1 has"}},
+        HardCase{"ALostAnswerThenARepeatElsewhere",
+                 kLostThenElsewhere,
+                 {"q1000000-0 asks g0", "q1000000-0 ends: CANCELLED", "q1000000-1 asks g1",
+                  "q1000000-1 ends: OK"}},
+        HardCase{"AnUnsafeNodeDiesItsLineWaits",
+                 kUnsafeDies,
+                 {"n0 has", "q2-0 asks", "n0 dies", "q1-0 ends: UNKNOWN", "q2-0 ends: UNAVAILABLE"}},
+        HardCase{"AllDownAndBackCold", kAllDown, {"n7 dies", "n0 starts", "to n0"}},
+        HardCase{"AGatewayRestartsInAColdWindow",
+                 kRestartInColdWindow,
+                 {"n0 starts", "g0 dies", "g0 starts", "g0 takes"}},
+        HardCase{"AListNamesANodeTwice", kTwiceInList, {"trouble list_doubles", "g0 sends"}}),
+    [](const auto& named) { return std::string(named.param.name); });
+
+// The end of a client's patience, or its leaving, at every moment around the answer's.
+TEST(Simulation, TimesThatMeetTheAnswersKeepEveryRule) {
+  for (const bool leaves : {false, true}) {
+    uint64_t served = 0, other = 0;
+    for (TimeUs moment = 70'000; moment < 76'000; moment += 40) {
+      Scenario s;
+      s.gateways = 1;
+      s.nodes = s.zones = 1;
+      RequestEvent r;
+      r.number = 1;
+      r.at = 100'000;
+      r.cls = "booking";
+      r.work_us = 70'000;
+      r.patience_us = leaves ? 3'000'000 : moment;
+      r.leaves_after_us = leaves ? moment : 0;
+      s.requests.push_back(r);
+      const RunResult out = run(s);
+      for (const audit::Finding& f : out.findings)
+        ADD_FAILURE() << moment << " us, rule " << f.rule << ": " << f.what;
+      served += out.ends.served;
+      other += out.ends.left + out.ends.refused + out.ends.failed + out.ends.unreachable;
+    }
+    if (leaves) {
+      EXPECT_GT(served, 0u);
+    }
+    EXPECT_GT(other, 0u);
+  }
+}
+
 }  // namespace
 }  // namespace sablelink::sim
