--- a/src/sim/network.cpp
+++ b/src/sim/network.cpp
@@ -137,7 +137,7 @@
     const auto losing = network_.losing_.find(call->facts.address);
     if (losing != network_.losing_.end() && losing->second > 0) {
       --losing->second;
-      network_.break_connection(call->connection, true, true);
+      network_.break_connection(call->connection, Hears::kLater, Hears::kLater);
       co_return false;
     }
     Network* const network = &network_;
@@ -322,7 +322,7 @@
   Channel(Network& network, std::shared_ptr<Actor> actor, std::string address)
       : network_(network), actor_(std::move(actor)), address_(std::move(address)) {}
   ~Channel() override {
-    if (connection_) network_.break_connection(connection_, false, true);
+    if (connection_) network_.break_connection(connection_, Hears::kNever, Hears::kLater);
   }
 
   Awaitable<bool> connect(TimeUs within) override {
@@ -432,11 +432,7 @@
   const auto it = listeners_.find(listener->address);
   if (it != listeners_.end() && it->second == listener) listeners_.erase(it);
   for_connections("", listener->address, [&](const std::shared_ptr<Connection>& c) {
-    if (c->server != listener) return;
-    const std::vector<std::weak_ptr<Call>> calls = c->calls;
-    break_connection(c, true, false);
-    for (const auto& weak : calls)  // here at once; its process may be dead and hear of nothing later
-      if (const std::shared_ptr<Call> call = weak.lock(); call && call->listener) end_at_server(call);
+    if (c->server == listener) break_connection(c, Hears::kLater, Hears::kAtOnce);
   });
 }
 
@@ -462,12 +458,12 @@
     // The kernel answers, whatever the process is doing.
     const bool stands = !refused && c->server->open;
     send(c, false, [this, c, stands] {
-      c->state = stands ? Connection::State::kUp : Connection::State::kBroken;
-      std::exchange(c->done, nullptr)(stands);
-      if (stands) return;
-      for (const auto& weak : c->calls)
-        if (const auto call = weak.lock())
-          end_at_client(call, made_up(Code::kUnavailable, "no connection to " + c->address), false);
+      if (!stands) {
+        break_connection(c, Hears::kAtOnce, Hears::kNever, "no connection to " + c->address);
+        return;
+      }
+      c->state = Connection::State::kUp;
+      std::exchange(c->done, nullptr)(true);
     });
   });
   return c;
@@ -499,31 +495,36 @@
   });
 }
 
-void Network::break_connection(const std::shared_ptr<Connection>& connection, bool tell_client,
-                               bool tell_server) {
+void Network::break_connection(const std::shared_ptr<Connection>& connection, Hears client, Hears server,
+                               const std::string& why) {
   if (connection->state == Connection::State::kBroken) return;
   connection->state = Connection::State::kBroken;
   connection->held.clear();
   if (connection->done) std::exchange(connection->done, nullptr)(false);
-  std::vector<std::weak_ptr<Call>> calls = std::exchange(connection->calls, {});
-  const TimeUs way = terms_.base_us + slowed(connection->address);
-  // A side that isn't told has no use for its calls any more: they end at once, where they are.
-  const auto end = [this, calls](bool at_client) {
-    for (const auto& weak : calls) {
-      const std::shared_ptr<Call> call = weak.lock();
-      if (!call) continue;
-      if (at_client)
-        end_at_client(call, made_up(Code::kUnavailable, "the connection broke"), false);
-      else if (call->listener)
-        end_at_server(call);
-    }
-  };
-  world_.after(way, [this, connection, end, tell_client, tell_server] {
-    if (tell_client) connection->client->deliver([end] { end(true); });
-    if (tell_server && connection->server) connection->server->actor->deliver([end] { end(false); });
+  const std::vector<std::weak_ptr<Call>> calls = std::exchange(connection->calls, {});
+  if (client == Hears::kAtOnce) end_calls(calls, true, why);
+  if (server == Hears::kAtOnce) end_calls(calls, false, why);
+  if (client != Hears::kLater && server != Hears::kLater) return;
+  world_.after(terms_.base_us + slowed(connection->address), [this, connection, calls, client, server, why] {
+    if (client == Hears::kLater)
+      connection->client->deliver([this, calls, why] { end_calls(calls, true, why); });
+    if (server == Hears::kLater && connection->server)
+      connection->server->actor->deliver([this, calls, why] { end_calls(calls, false, why); });
   });
 }
 
+void Network::end_calls(const std::vector<std::weak_ptr<Call>>& calls, bool at_client,
+                        const std::string& why) {
+  for (const auto& weak : calls) {
+    const std::shared_ptr<Call> call = weak.lock();
+    if (!call) continue;
+    if (at_client)
+      end_at_client(call, made_up(Code::kUnavailable, why), false);
+    else if (call->listener)
+      end_at_server(call);
+  }
+}
+
 void Network::for_connections(const std::string& client, const std::string& address,
                               const std::function<void(const std::shared_ptr<Connection>&)>& fn) {
   std::vector<std::shared_ptr<Connection>> found;
@@ -581,7 +582,7 @@
       if (!c->cut) return;
       c->cut = false;
       if (!repaired) {
-        break_connection(c, true, true);
+        break_connection(c, Hears::kLater, Hears::kLater);
         return;
       }
       for (auto& [to_server, fn] : std::exchange(c->held, {})) send(c, to_server, std::move(fn));
@@ -590,8 +591,9 @@
 }
 
 void Network::reset(const std::string& client, const std::string& address) {
-  for_connections(client, address,
-                  [&](const std::shared_ptr<Connection>& c) { break_connection(c, true, true); });
+  for_connections(client, address, [&](const std::shared_ptr<Connection>& c) {
+    break_connection(c, Hears::kLater, Hears::kLater);
+  });
 }
 
 void Network::lose_answers(const std::string& address, int count) { losing_[address] += count; }
@@ -600,17 +602,14 @@
   for_connections("", "", [&](const std::shared_ptr<Connection>& c) {
     const bool is_client = c->client->name() == actor;
     const bool is_server = c->server && c->server->actor->name() == actor;
-    if (!is_client && !is_server) return;
-    if (no_word && is_server) {
-      c->cut = true;  // its clients find out by their deadlines
-      return;
+    if (is_server && no_word) {
+      c->cut =
+          true;  // close() ends what it has here, and breaks it: see the gaps in docs/design/simulation.md
+    } else if (is_server) {
+      break_connection(c, Hears::kLater, Hears::kAtOnce);
+    } else if (is_client) {
+      break_connection(c, Hears::kAtOnce, Hears::kLater, "the process died");
     }
-    const std::vector<std::weak_ptr<Call>> calls = c->calls;
-    break_connection(c, !is_client, !is_server);
-    if (!is_client) return;
-    for (const auto& weak : calls)  // its own clock doesn't end them any more
-      if (const auto call = weak.lock())
-        end_at_client(call, made_up(Code::kUnavailable, "the process died"), false);
   });
 }
 
--- a/src/sim/network.h
+++ b/src/sim/network.h
@@ -74,7 +74,8 @@
   void reset(const std::string& client, const std::string& address);  // connections that stand break at once
   // The next so many answers of the address are lost: the connection breaks as they leave.
   void lose_answers(const std::string& address, int count);
-  // An actor that has died: its connections break on the other side, or just fall silent (no_word).
+  // An actor that has died: its calls end where it was, and its connections break on the other side. With no
+  // word what was on its way to it is held back instead.
   void died(const std::string& actor, bool no_word);
 
  private:
@@ -92,7 +93,12 @@
                                       std::function<void(bool)> done);
   // To the server or to the client of a connection, after the way's time; dropped where it has broken.
   void send(const std::shared_ptr<Connection>& connection, bool to_server, std::function<void()> fn);
-  void break_connection(const std::shared_ptr<Connection>& connection, bool tell_client, bool tell_server);
+  // What a side of a broken connection makes of it: its calls end after the way's time, where its process
+  // gets to hear of it; at once, where it needn't be told or is dead itself; or not by this.
+  enum class Hears { kLater, kAtOnce, kNever };
+  void break_connection(const std::shared_ptr<Connection>& connection, Hears client, Hears server,
+                        const std::string& why = "the connection broke");
+  void end_calls(const std::vector<std::weak_ptr<Call>>& calls, bool at_client, const std::string& why);
   void end_at_client(const std::shared_ptr<Call>& call, rpc::CallEnd end, bool from_server);
   void end_at_server(const std::shared_ptr<Call>& call);
   void arrive(const std::shared_ptr<Call>& call);
--- a/tests/sim_test.cpp
+++ b/tests/sim_test.cpp
@@ -312,9 +312,10 @@
                  kLostThenElsewhere,
                  {"q1000000-0 asks g0", "q1000000-0 ends: CANCELLED", "q1000000-1 asks g1",
                   "q1000000-1 ends: OK"}},
-        HardCase{"AnUnsafeNodeDiesItsLineWaits",
-                 kUnsafeDies,
-                 {"n0 has", "q2-0 asks", "n0 dies", "q1-0 ends: UNKNOWN", "q2-0 ends: UNAVAILABLE"}},
+        HardCase{
+            "AnUnsafeNodeDiesItsLineWaits",
+            kUnsafeDies,
+            {"n0 has", "q2-0 asks", "n0 dies", "n0 ends", "q1-0 ends: UNKNOWN", "q2-0 ends: UNAVAILABLE"}},
         HardCase{"AllDownAndBackCold", kAllDown, {"n7 dies", "n0 starts", "to n0"}},
         HardCase{"AGatewayRestartsInAColdWindow",
                  kRestartInColdWindow,
