Rule 7 and keyed windows allow for the dial between decision and leaving

An attempt leaves up to a dial after the module decides it, so those of window and dial may leave in one window; and the observer counted attempts that never left at the time of the next one.

--- a/src/audit/rules.cpp
+++ b/src/audit/rules.cpp
@@ -178,9 +178,12 @@
   check_drain(a);
   check_cold(a);
   check_placement(a);
-  const int further = attempt - std::max(r->most, 0);
+  const int unseen = attempt - std::max(r->most, 0) - 1;
+  const TimeUs unseen_from = r->most >= 0 ? r->attempts[r->attempts.size() - 2]->from
+                             : a.client   ? a.client->record.asked_at
+                                          : at;
+  if (attempt > std::max(r->most, 0)) check_budget(a, unseen, unseen_from);
   r->most = std::max(r->most, attempt);
-  if (attempt > 0 && further > 0) check_budget(a, further);
   if (std::vector<Attempt*>* const line = line_of(a)) {
     check_turn(*line, a);
     line->push_back(&a);
@@ -335,13 +338,17 @@
                  ", where it may not run");
 }
 
-// Rule 7: further attempts of one gateway in any window. One that was never seen counts by the number of the
-// next one.
-void Rules::check_budget(const Attempt& a, int further) {
+// Rule 7: further attempts of one gateway in any window. unseen: attempts of its request that never left, as
+// the number of this one tells. They were made at some time from unseen_from on, and only what is surely in
+// the window counts.
+void Rules::check_budget(const Attempt& a, int unseen, TimeUs unseen_from) {
   if (!s_.rules.attempts_rationed) return;
   const std::string life = life_of(a.request);
   std::deque<std::pair<TimeUs, int>>& list = extra_[life];
-  list.emplace_back(a.from, further);
+  if (unseen > 0)
+    list.emplace(std::upper_bound(list.begin(), list.end(), std::make_pair(unseen_from, 0)), unseen_from,
+                 unseen);
+  list.emplace_back(a.from, 1);
   // The window by the gateway's own clock: where that went forward, it reaches back less far.
   TimeUs from = a.from - s_.rules.budget_window_us;
   if (const auto jumps = jumps_.find(a.gateway); jumps != jumps_.end())
--- a/src/audit/rules.h
+++ b/src/audit/rules.h
@@ -128,7 +128,7 @@
   void check_cold(const Attempt& a);
   void check_turn(const std::vector<Attempt*>& line, const Attempt& b);
   void check_placement(const Attempt& a);
-  void check_budget(const Attempt& a, int further);
+  void check_budget(const Attempt& a, int unseen, TimeUs unseen_from);
 
   const AuditSettings s_;
   std::map<std::string, const NodeFacts*> facts_;
--- a/src/carrier/carrier.cpp
+++ b/src/carrier/carrier.cpp
@@ -114,11 +114,12 @@
 RequestId Carrier::take(QueryRequest query, std::shared_ptr<const Statement> statement,
                         std::shared_ptr<ReplySink> sink) {
   ++counts_.taken;
-  if (stopping_ || open_ >= limits_.max_open) {
+  const bool late = query.due_us <= now();
+  if (late || stopping_ || open_ >= limits_.max_open) {
     ++counts_.refused;
     FinalAnswer end;
     end.verdict = Verdict::kRefused;
-    end.reason = stopping_ ? Reason::kStopping : Reason::kGatewayFull;
+    end.reason = late ? Reason::kOverdue : stopping_ ? Reason::kStopping : Reason::kGatewayFull;
     sink->finish(end);
     return 0;
   }
@@ -499,7 +500,8 @@
         if (request == nullptr || !request->sink) break;
         request->watched = false;
         ++counts_.overdue;
-        answer(id, *request, {Verdict::kFailed, Reason::kOverdue, 0, request->attempts, request->last_error});
+        const Verdict verdict = request->attempts == 0 ? Verdict::kRefused : Verdict::kFailed;
+        answer(id, *request, {verdict, Reason::kOverdue, 0, request->attempts, request->last_error});
         tell([&] { gateway_.on_client_left(now_, id, *this); });
         forget_if_over(id);
         break;
--- a/src/config/gateway_config.cpp
+++ b/src/config/gateway_config.cpp
@@ -68,6 +68,7 @@
   f.stop_grace_us = s.time("stop_grace", f.stop_grace_us);
   f.node_connections = s.integer("node_connections", 1, 64, f.node_connections);
   Settings& m = c.settings;
+  m.send_lag_us = f.dial_timeout_us;
   m.max_attempts = static_cast<int>(s.integer("max_attempts", 1, 255, 6));
   m.max_retry_after_us = s.time("max_retry_after", 2'000'000);
   m.retry_after_heeded = m.max_retry_after_us > 0;
@@ -106,7 +107,10 @@
   m.budget_window_us = s.time("budget_window", 0);
   m.budget_free = s.number("budget_free", 0, kMost, 0);
   m.budget_per_request = s.number("budget_per_request", 0, 1000, 0);
-  if (m.attempts_rationed && m.budget_window_us == 0) s.fail("budget_window", "must be over 0");
+  if (m.attempts_rationed && m.budget_window_us <= m.send_lag_us)
+    s.fail("budget_window", "must be over limits.dial_timeout");
+  // What was decided before the word came may leave once its connection stands.
+  if (m.drain_grace_us < m.send_lag_us) s.fail("drain_grace", "must not be under limits.dial_timeout");
   s.finish();
 }
 
--- a/src/flightsql/terms.cpp
+++ b/src/flightsql/terms.cpp
@@ -72,6 +72,7 @@
 }
 
 TimeUs due_after(TimeUs patience_us, TimeUs margin_us) {
+  if (patience_us <= margin_us / 10) return 0;
   return std::max(patience_us - margin_us, patience_us / 2);
 }
 
@@ -169,7 +170,9 @@
       text = "failed: the answer broke off after its start";
       break;
     case Reason::kOverdue:
-      text = "failed: the request's time is up; it may have run";
+      text = answer.verdict == carrier::Verdict::kRefused
+                 ? "refused: the request's time is up; it was not sent to a node"
+                 : "failed: the request's time is up; it may have run";
       break;
   }
   if (answer.error.code != 0)
--- a/src/flightsql/terms.h
+++ b/src/flightsql/terms.h
@@ -58,7 +58,8 @@
 std::string encode_report(const NodeReport& report);
 
 // When a request that came now must have its answer on the way: the client's patience less the margin that
-// the way back takes, but never less than half of it.
+// the way back takes, but never less than half of it. 0, at once, where the patience is a tenth of the margin
+// or less: whatever is waited for, the client would be gone.
 TimeUs due_after(TimeUs patience_us, TimeUs margin_us);
 
 rpc::Status make_error(rpc::Code code, std::string message);
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -710,7 +710,7 @@
   bool effect_safe(const Query& q, const Engine& e) const {
     if (!q.may_have_run || q.cls->repeat == Repeat::kRetryable) return true;
     if (q.cls->repeat == Repeat::kFragile) return false;
-    return now_ <= q.ran_since + q.cls->window_us &&
+    return now_ + s_.send_lag_us <= q.ran_since + q.cls->window_us &&
            (q.cls->key_scope == KeyScope::kAll ||
             (q.cls->key_scope == KeyScope::kZone && q.ran_on.zone == e.entry.zone) ||
             (q.cls->key_scope == KeyScope::kCell && q.ran_on.cell == e.entry.cell));
@@ -756,11 +756,14 @@
            (q.attempts > 0 || now_ >= it->second.rest_until);
   }
 
-  // Rule 7: attempts beyond the first within the window.
+  // Rule 7: attempts beyond the first within the window. An attempt counts as it leaves, which may be up to
+  // the lag after its decision: any decided within window and lag may stand together in one window.
   bool within_budget(const Query& q) {
     if (q.attempts == 0 || !s_.attempts_rationed) return true;
-    while (!extra_at_.empty() && now_ - extra_at_.front() > s_.budget_window_us) extra_at_.pop_front();
-    while (!taken_at_.empty() && now_ - taken_at_.front() >= s_.budget_window_us) taken_at_.pop_front();
+    while (!extra_at_.empty() && now_ - extra_at_.front() > s_.budget_window_us + s_.send_lag_us)
+      extra_at_.pop_front();
+    while (!taken_at_.empty() && now_ - taken_at_.front() >= s_.budget_window_us - s_.send_lag_us)
+      taken_at_.pop_front();
     return (extra_at_.size() + 1) <= s_.budget_free + s_.budget_per_request * taken_at_.size();
   }
 
--- a/tests/audit_test.cpp
+++ b/tests/audit_test.cpp
@@ -257,5 +257,19 @@
   EXPECT_EQ(broken(), std::vector<int>{7});
 }
 
+// An attempt that never left was made at some time after the one before it: perhaps in an earlier window.
+TEST_F(Made, Rule7CountsUnseenAttemptsOnlyWhereTheySurelyWere) {
+  settings.rules.attempts_rationed = true;
+  settings.rules.budget_window_us = kSecond;
+  settings.rules.budget_free = 2;
+  asked("a", 0, 0, 3 * kSecond);
+  ran("a", 0, "n0", 0, 10 * kMs, End::kError);
+  ran("a", 2, "n0", 900 * kMs, 910 * kMs, End::kError);
+  ran("a", 3, "n0", 1500 * kMs, 1510 * kMs, End::kError);
+  EXPECT_EQ(broken(), none);
+  ran("a", 4, "n0", 1600 * kMs, 1610 * kMs);
+  EXPECT_EQ(broken(), std::vector<int>{7});
+}
+
 }  // namespace
 }  // namespace sablelink::audit
--- a/tests/carrier_test.cpp
+++ b/tests/carrier_test.cpp
@@ -64,6 +64,33 @@
   EXPECT_EQ(b.nodes.count(id), 1);
 }
 
+TEST(Carrier, WhatComesTooLateIsRefusedAtOnceAndNeverSent) {
+  CarrierBench b;
+  const auto client = std::make_shared<FakeClient>();
+  const RequestId id = b.take(client, 0);
+  EXPECT_EQ(b.nodes.count(id), 0);
+  ASSERT_EQ(client->answers.size(), 1u);
+  EXPECT_EQ(client->answers[0].verdict, Verdict::kRefused);
+  EXPECT_EQ(client->answers[0].reason, Reason::kOverdue);
+  EXPECT_EQ(b.carrier.entries(), 0u);
+}
+
+// It waits for its key's turn, so shortly that the module's own check comes later: nothing ran, and its
+// client may know.
+TEST(Carrier, WhatWasNeverSentIsRefusedWhenItsTimeIsUp) {
+  Settings s = plain_settings();
+  s.classes[0].in_order = true;
+  CarrierBench b(s);
+  b.take(std::make_shared<FakeClient>(), kSecond, 0, 5);
+  const auto client = std::make_shared<FakeClient>();
+  b.take(client, 300, 0, 5);
+  EXPECT_TRUE(client->answers.empty());
+  b.clock.run_for(kMs);
+  ASSERT_EQ(client->answers.size(), 1u);
+  EXPECT_EQ(client->answers[0].verdict, Verdict::kRefused);
+  EXPECT_EQ(client->answers[0].reason, Reason::kOverdue);
+}
+
 TEST(Carrier, AFlowingAnswerOutlivesTheDeadline) {
   carrier::CarrierLimits limits;
   limits.hold_bytes = 10;
--- a/tests/flightsql_test.cpp
+++ b/tests/flightsql_test.cpp
@@ -157,6 +157,8 @@
   EXPECT_EQ(due_after(1'000'000, 25'000), 975'000);
   EXPECT_EQ(due_after(30'000, 25'000), 15'000);
   EXPECT_EQ(due_after(0, 25'000), 0);
+  EXPECT_EQ(due_after(2'500, 25'000), 0) << "spent on the way back, so it is answered at once";
+  EXPECT_EQ(due_after(2'600, 25'000), 1'300);
 }
 
 TEST(FinalAnswers, PromiseOnlyWhatIsTrue) {
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -304,6 +304,44 @@
   EXPECT_EQ(b.sends(50), 2) << "the window has moved on";
 }
 
+// Decided now, an attempt may leave up to the lag later, together with those of a lag later.
+TEST(AttemptBudget, CoversWhatLeavesLateInOneWindow) {
+  Settings s = plain_settings();
+  s.attempts_rationed = true;
+  s.budget_free = 1;
+  s.budget_window_us = kSecond;
+  s.send_lag_us = 200 * kMs;
+  Bench b(s);
+  b.list({engine(1), engine(2), engine(3)});
+  const auto further = [&](RequestId id) {
+    b.request(id, 0, 5 * kSecond);
+    b.end(id, Outcome::kFull);
+    const bool sent = b.sends(id) == 2;
+    if (sent) b.end(id, Outcome::kOk, 1000);
+    return sent;
+  };
+  EXPECT_TRUE(further(1));
+  b.run_for(1100 * kMs);
+  EXPECT_FALSE(further(2)) << "the first may have left 200 ms after its decision";
+  b.run_for(200 * kMs);
+  EXPECT_TRUE(further(3));
+}
+
+TEST(Effects, AKeyedRepeatLeavesWithinItsWindow) {
+  Settings s = plain_settings();
+  s.classes[0].repeat = Repeat::kDedup;
+  s.classes[0].window_us = kSecond;
+  s.send_lag_us = 200 * kMs;
+  for (const TimeUs after : {700 * kMs, 900 * kMs}) {
+    Bench b(s);
+    b.list({engine(1), engine(2)});
+    b.request(7, 0, 5 * kSecond);
+    b.run_for(after);
+    b.end(7, Outcome::kReset);
+    EXPECT_EQ(b.sends(7), after < 800 * kMs ? 2 : 1);
+  }
+}
+
 TEST(Streams, AStartedAnswerIsNeitherCancelledNorEnded) {
   Settings s = plain_settings();
   s.classes[0].stream = true;
