A loop that ends while its thread is awake no longer aborts the process

One loopback test aborted in gRPC's alarm: the loop's thread saw the end by itself, shut the queue and left, and the destructor's waking then came to a queue that takes no alarm. The queue is now shut by the thread that ends the loop, after the join. EndsWhileItsThreadIsBusy aborts in each run without the change.

--- a/src/rpc/grpc_loop.cpp
+++ b/src/rpc/grpc_loop.cpp
@@ -27,6 +27,12 @@
   ending_ = true;
   wake();
   thread_.join();
+  // Not on the thread itself, which may see the end before the waking above has come to the queue: a queue
+  // that is shut takes no alarm.
+  queue_->Shutdown();
+  void* tag = nullptr;
+  bool ok = false;
+  while (queue_->Next(&tag, &ok)) static_cast<Tag*>(tag)->take_back()->abandon();
 }
 
 TimeUs GrpcLoop::now() const {
@@ -98,8 +104,6 @@
     if (queue_->AsyncNext(&tag, &ok, wait()) == grpc::CompletionQueue::GOT_EVENT)
       static_cast<Tag*>(tag)->take_back()->complete(ok);
   }
-  queue_->Shutdown();
-  while (queue_->Next(&tag, &ok)) static_cast<Tag*>(tag)->take_back()->abandon();
 }
 
 }  // namespace sablelink::rpc
--- a/src/rpc/grpc_tags.h
+++ b/src/rpc/grpc_tags.h
@@ -17,8 +17,8 @@
 
 namespace sablelink::rpc {
 
-// What is given to the queue as tag. One of complete() and abandon() runs, once, on the loop's thread, and
-// frees the tag.
+// What is given to the queue as tag. One of complete() and abandon() runs, once, and frees the tag: on the
+// loop's thread, or where that has ended on the one that ends the loop.
 class Tag {
  public:
   virtual ~Tag() = default;
--- a/tests/transport_test.cpp
+++ b/tests/transport_test.cpp
@@ -412,6 +412,18 @@
   EXPECT_TRUE(transport_->wait_for([&] { return cancels == 1; }));
 }
 
+// The loop's thread may see its end before the call that wakes it has come to the queue, which was shut by
+// then and took the process down.
+TEST(GrpcLoop, EndsWhileItsThreadIsBusy) {
+  for (int i = 0; i < 300; ++i) {
+    std::function<void()> again;
+    rpc::GrpcLoop loop([] { return std::chrono::system_clock::now(); },
+                       [] { return std::chrono::steady_clock::now(); });
+    again = [&] { loop.call_after(1, again); };
+    loop.run(again);
+  }
+}
+
 INSTANTIATE_TEST_SUITE_P(Both, TransportTest, testing::Values(Kind::kGrpc, Kind::kSim),
                          [](const auto& kind) { return kind.param == Kind::kGrpc ? "Grpc" : "Sim"; });
 
