Simulation: silent machines are silent, storms of troubles, worlds end when at rest

node_silence broke its connections like a crash, so gateways heard of it at once; connections now stay up and swallow until something listens there again, which nothing but a timer ends.

Both new tests were seen failing without the change.

--- a/src/sim/network.cpp
+++ b/src/sim/network.cpp
@@ -46,6 +46,7 @@
   std::function<void(bool)> done;  // hears once whether it stands
   RandomStream random;
   TimeUs arrives[2] = {0, 0};  // the latest arrival so far, to the client and to the server
+  bool silent = false;         // the server's machine is gone: what is sent vanishes
   bool cut = false;
   std::vector<std::pair<bool, std::function<void()>>> held;  // sent while it was cut
   std::vector<std::weak_ptr<Call>> calls;
@@ -59,7 +60,8 @@
     std::deque<std::string> in;  // arrived and not yet read
     bool in_end = false;         // nothing more comes
     Signal readable, writable;
-    size_t unread = 0;  // sent from here and not yet read there
+    size_t unread = 0;  // sent from here and not yet told to be read there
+    size_t read = 0;    // here, and not yet told
     bool over = false;
   };
   CallFacts facts;
@@ -104,10 +106,7 @@
     if (call->server.in.empty() || call->server.over) co_return std::nullopt;
     std::string message = std::move(call->server.in.front());
     call->server.in.pop_front();
-    network.send(call->connection, false, [call, n = message.size()] {
-      call->client.unread -= std::min(n, call->client.unread);
-      call->client.writable.give();
-    });
+    network.tell_read(call, false, message.size());
     co_return message;
   }
 
@@ -158,9 +157,9 @@
 
  private:
   void pass_on(std::string message) {
-    network_.send(call_->connection, false, [call = call_, message = std::move(message)] {
+    network_.send(call_->connection, false, [call = call_, message = std::move(message)]() mutable {
       if (call->client.over) return;
-      call->client.in.push_back(message);
+      call->client.in.push_back(std::move(message));
       call->client.readable.give();
     });
   }
@@ -182,21 +181,23 @@
     const bool first = !call->started;
     if (first) start();
     Network* const network = &network_;
-    network_.send(call->connection, true, [network, call, message = std::move(message), last, first] {
-      if (!call->connection->server) return;  // nobody is there
-      if (first) network->arrive(call);
-      if (call->server.over) return;
-      if (message.size() > call->listener->max_message_bytes) {
-        network->end_at_server(call);
-        network->send(call->connection, false, [network, call] {
-          network->end_at_client(call, made_up(Code::kResourceExhausted, "a message is too large"), false);
-        });
-        return;
-      }
-      call->server.in.push_back(message);
-      call->server.in_end = last;
-      call->server.readable.give();
-    });
+    network_.send(call->connection, true,
+                  [network, call, message = std::move(message), last, first]() mutable {
+                    if (!call->connection->server) return;  // nobody is there
+                    if (first) network->arrive(call);
+                    if (call->server.over) return;
+                    if (message.size() > call->listener->max_message_bytes) {
+                      network->end_at_server(call);
+                      network->send(call->connection, false, [network, call] {
+                        network->end_at_client(
+                            call, made_up(Code::kResourceExhausted, "a message is too large"), false);
+                      });
+                      return;
+                    }
+                    call->server.in.push_back(std::move(message));
+                    call->server.in_end = last;
+                    call->server.readable.give();
+                  });
     while (call->client.unread > network_.terms_.window_bytes && !call->client.over)
       co_await call->client.writable.wait();
     co_return !call->client.over;
@@ -209,10 +210,7 @@
     if (call->client.in.empty()) co_return std::nullopt;
     std::string message = std::move(call->client.in.front());
     call->client.in.pop_front();
-    network.send(call->connection, true, [call, n = message.size()] {
-      call->server.unread -= std::min(n, call->server.unread);
-      call->server.writable.give();
-    });
+    network.tell_read(call, true, message.size());
     co_return message;
   }
 
@@ -254,6 +252,19 @@
   const std::shared_ptr<Call> call_;
 };
 
+// What a side has read makes room at the other. As HTTP/2 does, it is told in pieces of a part of the window,
+// and not for each message.
+void Network::tell_read(const std::shared_ptr<Call>& call, bool to_server, size_t bytes) {
+  Call::Half& reader = to_server ? call->client : call->server;
+  reader.read += bytes;
+  if (reader.read < terms_.window_bytes / 4) return;
+  send(call->connection, to_server, [call, to_server, n = std::exchange(reader.read, 0)] {
+    Call::Half& writer = to_server ? call->server : call->client;
+    writer.unread -= std::min(n, writer.unread);
+    writer.writable.give();
+  });
+}
+
 // A call's server learns that it is over without its doing, or has ended it itself.
 void Network::end_at_server(const std::shared_ptr<Call>& call) {
   if (call->server.over) return;
@@ -424,6 +435,11 @@
   listener->handler = std::move(handler);
   listener->max_message_bytes = max_message_bytes;
   listeners_[address] = listener;
+  // A machine that is back knows nothing of connections to its former life.
+  silent_.erase(address);
+  for_connections("", address, [&](const std::shared_ptr<Connection>& c) {
+    if (c->silent) break_connection(c, Hears::kLater, Hears::kNever);
+  });
   return listener;
 }
 
@@ -432,7 +448,7 @@
   const auto it = listeners_.find(listener->address);
   if (it != listeners_.end() && it->second == listener) listeners_.erase(it);
   for_connections("", listener->address, [&](const std::shared_ptr<Connection>& c) {
-    if (c->server == listener) break_connection(c, Hears::kLater, Hears::kAtOnce);
+    if (c->server == listener && !c->silent) break_connection(c, Hears::kLater, Hears::kAtOnce);
   });
 }
 
@@ -450,7 +466,7 @@
   c->client = client;
   c->done = std::move(done);
   connections_[c->number] = c;
-  if (matches(swallowing_, address)) return c;  // no word ever comes
+  if (matches(swallowing_, address) || silent_.contains(address)) return c;  // no word ever comes
   const auto it = listeners_.find(address);
   const bool refused = it == listeners_.end() || matches(refusing_, address);
   if (!refused) c->server = it->second;
@@ -462,6 +478,7 @@
         break_connection(c, Hears::kAtOnce, Hears::kNever, "no connection to " + c->address);
         return;
       }
+      if (c->state != Connection::State::kConnecting) return;  // heard late, where the process stood still
       c->state = Connection::State::kUp;
       std::exchange(c->done, nullptr)(true);
     });
@@ -470,7 +487,7 @@
 }
 
 void Network::send(const std::shared_ptr<Connection>& connection, bool to_server, std::function<void()> fn) {
-  if (!connection || connection->state == Connection::State::kBroken) return;
+  if (!connection || connection->state == Connection::State::kBroken || connection->silent) return;
   if (connection->cut) {
     connection->held.emplace_back(to_server, std::move(fn));
     return;
@@ -479,19 +496,19 @@
                      slowed(connection->address);
   TimeUs& last = connection->arrives[to_server ? 1 : 0];
   last = std::max(last + 1, world_.now() + way);
-  world_.at(last, [this, connection, to_server, fn = std::move(fn)] {
-    if (connection->state == Connection::State::kBroken) return;
+  world_.at(last, [this, connection, to_server, fn = std::move(fn)]() mutable {
+    if (connection->state == Connection::State::kBroken || connection->silent) return;
     if (connection->cut) {  // it was on its way when the line went
-      connection->held.emplace_back(to_server, fn);
+      connection->held.emplace_back(to_server, std::move(fn));
       return;
     }
     // Setting up is the kernel's; all else waits where the process stands still.
     if (to_server && connection->server && connection->state == Connection::State::kUp)
-      connection->server->actor->deliver(fn);
+      connection->server->actor->deliver(std::move(fn));
     else if (to_server)
       fn();
     else
-      connection->client->deliver(fn);
+      connection->client->deliver(std::move(fn));
   });
 }
 
@@ -603,8 +620,9 @@
     const bool is_client = c->client->name() == actor;
     const bool is_server = c->server && c->server->actor->name() == actor;
     if (is_server && no_word) {
-      c->cut =
-          true;  // close() ends what it has here, and breaks it: see the gaps in docs/design/simulation.md
+      c->silent = true;
+      silent_.insert(c->address);
+      end_calls(c->calls, false, "the process died");
     } else if (is_server) {
       break_connection(c, Hears::kLater, Hears::kAtOnce);
     } else if (is_client) {
--- a/src/sim/network.h
+++ b/src/sim/network.h
@@ -75,7 +75,8 @@
   // The next so many answers of the address are lost: the connection breaks as they leave.
   void lose_answers(const std::string& address, int count);
   // An actor that has died: its calls end where it was, and its connections break on the other side. With no
-  // word what was on its way to it is held back instead.
+  // word the other side hears nothing, as when a machine loses its power: connections stay up and swallow
+  // what is sent, until something listens there again.
   void died(const std::string& actor, bool no_word);
 
  private:
@@ -102,6 +103,7 @@
   void end_at_client(const std::shared_ptr<Call>& call, rpc::CallEnd end, bool from_server);
   void end_at_server(const std::shared_ptr<Call>& call);
   void arrive(const std::shared_ptr<Call>& call);
+  void tell_read(const std::shared_ptr<Call>& call, bool to_server, size_t bytes);
   TimeUs slowed(const std::string& address) const;
   bool matches(const std::set<std::string>& addresses, const std::string& address) const;
   void for_connections(const std::string& client, const std::string& address,
@@ -115,6 +117,7 @@
   std::map<uint64_t, std::weak_ptr<Connection>> connections_;     // by number
   std::map<std::pair<std::string, std::string>, uint64_t> made_;  // connections, by client and address
   std::set<std::string> refusing_, swallowing_;
+  std::set<std::string> silent_;  // addresses whose machine is gone; until one listens there again
   std::map<std::string, TimeUs> slow_;
   std::map<std::string, int> losing_;
   uint64_t last_connection_ = 0, last_call_ = 0;
--- a/src/sim/run.cpp
+++ b/src/sim/run.cpp
@@ -24,7 +24,8 @@
 
 constexpr TimeUs kMs = 1000, kSecond = 1'000'000;
 constexpr TimeUs kRestartUs = 300 * kMs;   // from a process's end to its next start, in rolls and drains
-constexpr TimeUs kQuietUs = 60 * kSecond;  // after the last trouble and patience, for all to come to rest
+constexpr TimeUs kQuietUs = 60 * kSecond;  // most, after the last trouble, for all to come to rest
+constexpr TimeUs kLookUs = 2 * kSecond;    // between two looks whether it has
 
 // What every simulated gateway is configured with, besides the world's own.
 constexpr std::string_view kConfig = R"(
@@ -160,14 +161,25 @@
       world_.at(begin_ + t.at, [this, t] { begin_trouble(t); });
     }
     TimeUs end = begin_ + s_.length_us;
-    for (const TroubleEvent& t : s_.troubles)
-      end = std::max(end, begin_ + t.at + t.how_long * std::max(s_.nodes, s_.gateways));
+    for (const TroubleEvent& t : s_.troubles) {
+      const int turns = t.kind == Trouble::kDeploy        ? s_.nodes
+                        : t.kind == Trouble::kGatewayRoll ? s_.gateways
+                                                          : 1;
+      end = std::max(end, begin_ + t.at + t.how_long * turns);
+    }
+    TimeUs look_at = end + kLookUs;
     end += kQuietUs;
-    while (world_.step() && world_.now() <= end) {
+    bool stopped = false;
+    while (!stopped && world_.step() && world_.now() <= end) {
       check_step();
-      if (options_.stop_at_finding && !observer_.findings().empty()) break;
+      stopped = options_.stop_at_finding && !observer_.findings().empty();
+      if (world_.now() < look_at) continue;
+      look_at += kLookUs;
+      if (unrest().empty()) break;
     }
-    if (!options_.stop_at_finding || observer_.findings().empty()) check_rest();
+    // The world is quiet: every table must be empty, and nothing held for ever.
+    if (!stopped)
+      for (const std::string& what : unrest()) observer_.broken(what);
     observer_.close();
     observer_.after_step();
 
@@ -451,6 +463,7 @@
     size_t gateway = static_cast<size_t>(r.gateway) % gateways_.size();
     const std::string sql = statement(r);
     TimeUs left = r.patience_us;
+    ++clients_out_;
     for (int turn = 0; turn < r.tries && left > 0; ++turn) {
       audit::ClientRecord c;
       c.tag = "q" + std::to_string(r.number) + "-" + std::to_string(turn);
@@ -477,11 +490,9 @@
         });
       }
       observer_.asks(c, sql);
-      ++clients_out_;
       const std::shared_ptr<flightsql::Client> to = desk.clients[gateway];
       std::string text = sql;
       const flightsql::QueryResult result = co_await to->query(std::move(text), std::move(o));
-      --clients_out_;
       observer_.client_ends(c, result, *left_early);
       const bool served = result.from_gateway && result.verdict == carrier::Verdict::kServed;
       const bool promised = result.from_gateway && result.verdict == carrier::Verdict::kRefused;
@@ -494,6 +505,7 @@
       left = c.due_at - world_.now();
       gateway = (gateway + 1) % gateways_.size();
     }
+    --clients_out_;
   }
 
   // ---- Troubles -------------------------------------------------------------------------------------------
@@ -607,7 +619,9 @@
           if (each.zone == t.target % s_.zones) crash(each, t.how_long, false);
         break;
       case Trouble::kAllDown:
-        for (Node& each : nodes_) crash(each, t.how_long, false);
+        // They come back together, or one after the other: the first then has to bear the whole load, cold.
+        for (size_t i = 0; i < nodes_.size(); ++i)
+          crash(nodes_[i], t.how_long + (t.second % 2 != 0 ? static_cast<TimeUs>(i) * 300 * kMs : 0), false);
         break;
       case Trouble::kLinkSlow:
         spell(t, [this, name = n.name, by = static_cast<TimeUs>(t.value * kMs)](bool on) {
@@ -689,24 +703,26 @@
     }
   }
 
-  // The world is quiet: every table must be empty, and nothing held for ever.
-  void check_rest() {
-    if (clients_out_ > 0) observer_.broken(std::to_string(clients_out_) + " clients still wait");
-    for (Gateway& g : gateways_) {
+  // What hasn't come to its end.
+  std::vector<std::string> unrest() const {
+    std::vector<std::string> out;
+    const auto empty = [&](const std::string& who, const char* what, size_t n) {
+      if (n > 0) out.push_back(who + " still has " + std::to_string(n) + " " + what);
+    };
+    empty("the world", "clients", clients_out_);
+    for (const Gateway& g : gateways_) {
       if (!g.core) continue;
       const carrier::Carrier& c = g.core->carrier();
-      const auto empty = [&](const char* what, size_t n) {
-        if (n > 0) observer_.broken(g.name + " still has " + std::to_string(n) + " " + what);
-      };
-      empty("requests", c.entries());
-      empty("requests without an answer", c.open());
-      empty("bytes held", c.held_bytes());
-      empty("calls of clients", network_.running(g.listener));
-      if (g.core->node_client().busy() > c.probes_out()) empty("attempts", g.core->node_client().busy());
+      empty(g.name, "requests", c.entries());
+      empty(g.name, "requests without an answer", c.open());
+      empty(g.name, "bytes held", c.held_bytes());
+      empty(g.name, "calls of clients", network_.running(g.listener));
+      const size_t busy = g.core->node_client().busy();
+      if (busy > c.probes_out()) empty(g.name, "attempts", busy);
     }
-    for (Node& n : nodes_)
-      if (n.up() && network_.running(n.listener) > 0 && !n.stand_in->fallen())
-        observer_.broken(n.name + " still has " + std::to_string(network_.running(n.listener)) + " calls");
+    for (const Node& n : nodes_)
+      if (n.up() && !n.stand_in->fallen()) empty(n.name, "calls", network_.running(n.listener));
+    return out;
   }
 
   const Scenario& s_;
--- a/src/sim/scenario.cpp
+++ b/src/sim/scenario.cpp
@@ -35,13 +35,26 @@
   return std::string(what) + "/" + std::to_string(number);
 }
 
+// In half of the worlds most troubles come together, and the load with them.
+TimeUs storm_of(const Scenario& s) {
+  RandomStream random(s.seed, "storm");
+  const TimeUs at = random.between(2 * kSecond, s.length_us / 2);
+  return random.chance(0.5) ? at : 0;
+}
+
+// In some worlds every other request is a report: only those can push a cold node over.
+bool heavy(const Scenario& s) { return RandomStream(s.seed, "heavy").chance(0.3); }
+
 RequestEvent make_request(const Scenario& s, uint64_t number) {
   RandomStream random(s.seed, named("request", number));
   RequestEvent r;
   r.number = number;
   // Some come one by one, some all at once.
+  const TimeUs storm = storm_of(s);
   const TimeUs burst = RandomStream(s.seed, "burst").between(kSecond, s.length_us - kSecond);
-  r.at = random.chance(0.25) ? burst + random.between(0, 200 * kMs) : random.between(0, s.length_us);
+  const TimeUs in_burst = random.between(0, 200 * kMs), anywhere = random.between(0, s.length_us);
+  const double when = random.uniform();
+  r.at = when < 0.25 ? burst + in_burst : storm > 0 && when < 0.6 ? storm + in_burst * 10 : anywhere;
   r.desk = static_cast<int>(random.below(s.desks));
   r.gateway = static_cast<int>(random.below(s.gateways));
   double draw = random.uniform();
@@ -50,6 +63,7 @@
     plan = &p;
     if ((draw -= p.share) < 0) break;
   }
+  if (random.chance(0.5) && heavy(s)) plan = &kPlans[1];
   r.cls = plan->name;
   // A sum of uniforms is near enough to a normal draw, and the same on every machine.
   double z = -6;
@@ -79,6 +93,8 @@
   t.number = number;
   t.kind = static_cast<Trouble>(random.below(kTroubles));
   t.at = random.between(500 * kMs, s.length_us * 3 / 4);
+  const TimeUs storm = storm_of(s), in_storm = random.between(0, 500 * kMs);
+  if (random.chance(0.7) && storm > 0) t.at = storm + in_storm;
   t.how_long = random.between(50 * kMs, 4 * kSecond);
   t.target = static_cast<int>(random.below(64));
   t.second = static_cast<int>(random.below(64));
--- a/src/sim/world.cpp
+++ b/src/sim/world.cpp
@@ -38,7 +38,10 @@
 // ---- World -----------------------------------------------------------------------------------------------
 
 World::World(uint64_t seed, Account& account)
-    : seed_(seed), account_(account), context_(1), guard_(context_.get_executor()) {}
+    : seed_(seed),
+      account_(account),
+      context_(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE),
+      guard_(context_.get_executor()) {}
 
 World::~World() = default;
 
--- a/src/sim/world.h
+++ b/src/sim/world.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/detail/concurrency_hint.hpp>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
--- a/tests/sim_test.cpp
+++ b/tests/sim_test.cpp
@@ -2,8 +2,12 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <optional>
 
 #include "config/section.h"
+#include "sim/network.h"
 #include "sim/run.h"
 
 namespace sablelink::sim {
@@ -118,7 +122,8 @@
                     Planted{Defect::kDrainIgnored, 3, 20}, Planted{Defect::kUnsafeRepeated, 2, 10},
                     Planted{Defect::kKeyedAnywhere, 2, 20}, Planted{Defect::kOrderIgnored, 5, 10},
                     Planted{Defect::kGapIgnored, 5, 20}, Planted{Defect::kPlacementIgnored, 6, 5},
-                    Planted{Defect::kBudgetIgnored, 7, 60}, Planted{Defect::kLostTimer, 1, 60}),
+                    Planted{Defect::kBudgetIgnored, 7, 20}, Planted{Defect::kLostTimer, 1, 20},
+                    Planted{Defect::kColdIgnored, 4, 80}),
     [](const auto& planted) { return std::string(defect_name(planted.param.defect)); });
 
 TEST(Simulation, AFailingWorldIsCutDown) {
@@ -323,6 +328,46 @@
         HardCase{"AListNamesANodeTwice", kTwiceInList, {"trouble list_doubles", "g0 sends"}}),
     [](const auto& named) { return std::string(named.param.name); });
 
+// A process that dies has its kernel tell; a machine that loses its power tells nobody, and a client's time
+// alone ends what is out there.
+TEST(Simulation, ASilentNodeIsHeardOfByTimersAlone) {
+  const auto ends_at = [](const char* kind) {
+    const std::string text = std::string("[world]\nnodes = 1\nzones = 1\ngateways = 1\n") +
+                             "[[request]]\nnumber = 1\nat = \"1s\"\nclass = \"booking\"\n" +
+                             "work = \"600ms\"\npatience = \"2s\"\n" + "[[trouble]]\nkind = \"" + kind +
+                             "\"\nat = \"1200ms\"\nfor = \"4s\"\n";
+    RunOptions keep;
+    keep.keep_account = true;
+    const RunResult r = run(parse_scenario(text, kind), keep);
+    for (const audit::Finding& f : r.findings) ADD_FAILURE() << "rule " << f.rule << ": " << f.what;
+    const size_t end = r.account.find("q1-0 ends");
+    EXPECT_NE(end, std::string::npos);
+    return std::stod(r.account.substr(r.account.rfind('\n', end) + 1, 14)) -
+           1;  // the world's clock begins at 1 s
+  };
+  EXPECT_LT(ends_at("node_crash"), 1.3);
+  EXPECT_GT(ends_at("node_silence"), 2.5);
+}
+
+// What waits for a process that stands still may be out of date when it goes on.
+TEST(Simulation, AConnectionThatBreaksBeforeItsWordIsHeardNeverStands) {
+  Account account;
+  World world(1, account);
+  Network network(world, {});
+  const auto client = Actor::make(world, "client"), server = Actor::make(world, "server");
+  network.listen("s", server, [](std::shared_ptr<rpc::ServerCall>) -> rpc::Awaitable<void> { co_return; });
+  const auto channels = network.channels(client);
+  const auto channel = channels->open("s");
+  std::optional<bool> stands;
+  const auto dial = [&]() -> rpc::Awaitable<void> { stands = co_await channel->connect(1'000'000); };
+  boost::asio::co_spawn(world.executor(), dial(), boost::asio::detached);
+  world.settle();
+  client->stall(10'000);
+  world.after(5'000, [&] { network.reset("", "s"); });
+  world.run_until(world.now() + 2'000'000);
+  EXPECT_EQ(stands, false);
+}
+
 // The end of a client's patience, or its leaving, at every moment around the answer's.
 TEST(Simulation, TimesThatMeetTheAnswersKeepEveryRule) {
   for (const bool leaves : {false, true}) {
