--- a/src/nodes/engine.cpp
+++ b/src/nodes/engine.cpp
@@ -73,7 +73,8 @@
   }
   r.left_us = std::max(work, 1.0);
   r.job.work_us = r.left_us;
-  memory_used_ += memory_of(job);
+  r.memory_mb = memory_of(job);
+  memory_used_ += r.memory_mb;
   running_[job.id] = r;
 }
 
@@ -91,7 +92,7 @@
   std::erase_if(line_, [&](const Job& job) { return job.id == id; });
   const auto it = running_.find(id);
   if (it != running_.end()) {
-    memory_used_ -= memory_of(it->second.job);
+    memory_used_ -= it->second.memory_mb;
     running_.erase(it);
   }
   start_waiting();
@@ -103,6 +104,12 @@
   share_out();
 }
 
+void Engine::set_memory(TimeUs now, double memory_mb) {
+  run_until(now);
+  settings_.memory_mb = memory_mb;
+  start_waiting();
+}
+
 // Cores go to threads in parts by priority, none to a thread past one core; reading slows all that read where
 // the disks are short.
 void Engine::share_out() {
@@ -168,7 +175,7 @@
     for (const auto& [id, r] : running_)
       if (r.left_us <= kEps) ended_.push_back(id);
     for (size_t i = before; i < ended_.size(); ++i) {
-      memory_used_ -= memory_of(running_[ended_[i]].job);
+      memory_used_ -= running_[ended_[i]].memory_mb;
       running_.erase(ended_[i]);
     }
     if (ended_.size() > before)
--- a/src/nodes/engine.h
+++ b/src/nodes/engine.h
@@ -57,6 +57,8 @@
 
   // Times slower than usual, from now on.
   void set_slow(TimeUs now, double factor);
+  // So much memory from now on. What runs keeps what it has; nothing starts until that fits again.
+  void set_memory(TimeUs now, double memory_mb);
   bool fallen() const { return fallen_; }
   std::optional<double> progress(uint64_t id) const;  // share of the work done, 0 while it waits
   bool waiting(uint64_t id) const;
@@ -67,8 +69,9 @@
  private:
   struct Running {
     Job job;
-    double left_us = 0;  // work
-    double rate = 0;     // work done in each microsecond
+    double memory_mb = 0;  // as it had at its start
+    double left_us = 0;    // work
+    double rate = 0;       // work done in each microsecond
   };
 
   void run_until(TimeUs now);
--- a/src/nodes/node_config.cpp
+++ b/src/nodes/node_config.cpp
@@ -15,7 +15,8 @@
       {"lost_answers", FaultKind::kLostAnswers},
       {"slow", FaultKind::kSlow},
       {"stale_reports", FaultKind::kStaleReports},
-      {"refuse", FaultKind::kRefuse}};
+      {"refuse", FaultKind::kRefuse},
+      {"memory_short", FaultKind::kMemoryShort}};
   return kWords;
 }
 
--- a/src/nodes/node_config.h
+++ b/src/nodes/node_config.h
@@ -17,6 +17,7 @@
   kSlow,          // value times slower
   kStaleReports,  // load reports stay what they were at its start
   kRefuse,        // admits nothing
+  kMemoryShort,   // that share of its memory is left; what waits lines up, what starts spills
 };
 
 // The words that configurations and scripts use for them.
--- a/src/nodes/stand_in.cpp
+++ b/src/nodes/stand_in.cpp
@@ -83,7 +83,7 @@
   for (const Fault& fault : faults_) {
     for (const TimeUs at : {fault.from_us, fault.from_us + fault.for_us})
       clock_.call_after(at, [self = self_] {
-        if (*self != nullptr) (*self)->update_speed();
+        if (*self != nullptr) (*self)->apply_faults();
       });
   }
 }
@@ -99,20 +99,23 @@
 
 void StandIn::begin_fault(FaultKind kind, TimeUs for_us, double value) {
   faults_.push_back({kind, clock_.now() - started_, for_us, value});
-  update_speed();
+  apply_faults();
   clock_.call_after(for_us, [self = self_] {
-    if (*self != nullptr) (*self)->update_speed();
+    if (*self != nullptr) (*self)->apply_faults();
   });
 }
 
-void StandIn::update_speed() {
+void StandIn::apply_faults() {
   const TimeUs age = clock_.now() - started_;
-  double slow = 1;
-  for (const Fault& f : faults_)
-    if (f.kind == FaultKind::kSlow && age >= f.from_us && age < f.from_us + f.for_us)
-      slow = std::max(slow, f.value);
+  double slow = 1, memory = 1;
+  for (const Fault& f : faults_) {
+    if (age < f.from_us || age >= f.from_us + f.for_us) continue;
+    if (f.kind == FaultKind::kSlow) slow = std::max(slow, f.value);
+    if (f.kind == FaultKind::kMemoryShort) memory = std::min(memory, f.value);
+  }
   run_engine();
   engine_.set_slow(clock_.now(), slow);
+  engine_.set_memory(clock_.now(), config_.engine.memory_mb * memory);
   schedule();
 }
 
--- a/src/nodes/stand_in.h
+++ b/src/nodes/stand_in.h
@@ -42,7 +42,7 @@
   rpc::Awaitable<void> finish(CallPtr call, rpc::Status status, std::optional<std::string> last,
                               const Job* job);
   bool struck_by(FaultKind kind) const;
-  void update_speed();
+  void apply_faults();
   void schedule();
   void run_engine();
   void schedule_notes();
--- a/src/sim/run.cpp
+++ b/src/sim/run.cpp
@@ -223,6 +223,7 @@
     uint64_t life = 0, lists = 0;
     std::map<std::string, EngineState> heard;  // of each node, last
     TimeUs deaf_until = 0;                     // discovery is down
+    std::vector<config::NodeConfig> cached;    // the list that its next start begins with; empty: the present
     TimeUs short_until = 0, doubled_until = 0;
   };
   struct Desk {
@@ -316,7 +317,8 @@
     config.name = g.name;
     config.settings.self_index = g.index;
     config.settings.zone = g.index % s_.zones;
-    config.nodes = list_for(g);
+    config.nodes = g.cached.empty() ? list_for(g) : std::exchange(g.cached, {});
+    tell_observer(g, config.nodes);
     RandomStream random = world_.stream("gateway/" + g.name + "/" + std::to_string(g.life));
     const auto seeds = service::GatewaySeeds::draw([&random] { return random.next(); });
     g.parts = std::make_unique<DefectiveParts>(options_.defect, *g.actor);
@@ -324,7 +326,6 @@
     service::GatewayPorts ports{world_.executor(), g.parts->clock(), *g.channels, *g.log, nullptr, {}};
     ports.wrap_nodes = g.parts->wrap_nodes();
     g.core = std::make_unique<service::GatewayCore>(config, seeds, ports);
-    tell_observer(g, list_for(g));
     g.core->start();
     g.listener = network_.listen(g.name, g.actor, [&g](std::shared_ptr<rpc::ServerCall> call) {
       return g.core->handle(g.parts->wrap_call(std::move(call)));
@@ -453,8 +454,8 @@
 
   static std::string statement(const RequestEvent& r) {
     char hint[200];
-    std::snprintf(hint, sizeof(hint), "/*+ work=%.0fus threads=%g rows=%d%s%s%s */", r.work_us, r.threads,
-                  r.rows, r.mishap.empty() ? "" : " mishap=", r.mishap.c_str(),
+    std::snprintf(hint, sizeof(hint), "/*+ work=%.0fus threads=%g memory=%.0f rows=%d%s%s%s */", r.work_us,
+                  r.threads, r.memory_mb, r.rows, r.mishap.empty() ? "" : " mishap=", r.mishap.c_str(),
                   r.mishap.empty() ? "" : " on_attempt=0");
     return "SELECT * FROM gallery " + std::string(hint);
   }
@@ -602,6 +603,9 @@
       case Trouble::kNodeRefuses:
         fault(t, nodes::FaultKind::kRefuse);
         break;
+      case Trouble::kMemoryShort:
+        fault(t, nodes::FaultKind::kMemoryShort, t.value);
+        break;
       case Trouble::kReportsStale:
         fault(t, nodes::FaultKind::kStaleReports);
         break;
@@ -649,6 +653,12 @@
       case Trouble::kGatewayCrash:
         crash(target_gateway, t.how_long);
         break;
+      case Trouble::kStaleStart:
+        if (!target_gateway.core) break;
+        target_gateway.cached = list_for(target_gateway);
+        target_gateway.deaf_until = world_.now() + t.how_long + static_cast<TimeUs>(t.value * kMs);
+        crash(target_gateway, t.how_long);
+        break;
       case Trouble::kGatewayRoll:
         for (size_t i = 0; i < gateways_.size(); ++i)
           world_.after(t.how_long * static_cast<TimeUs>(i), [this, i] { crash(gateways_[i], kRestartUs); });
--- a/src/sim/scenario.cpp
+++ b/src/sim/scenario.cpp
@@ -13,12 +13,12 @@
 constexpr TimeUs kMs = 1000, kSecond = 1'000'000;
 
 constexpr std::array<const char*, kTroubles> kNames = {
-    "node_crash",  "node_silence",   "node_hang",     "node_errors",   "answer_never",  "node_slow",
-    "node_ageing", "node_refuses",   "reports_stale", "drain",         "drain_late",    "deploy",
-    "zone_loss",   "all_down",       "link_slow",     "link_cut",      "link_stalls",   "reset",
-    "refused",     "swallowed",      "answer_lost",   "gateway_crash", "balancer_roll", "gateway_stall",
-    "clock_jump",  "discovery_down", "list_shrinks",  "list_doubles",  "hot_caller",    "impatience",
-    "client_reset"};
+    "node_crash",   "node_silence",   "node_hang",     "node_errors",   "answer_never",  "node_slow",
+    "node_ageing",  "node_refuses",   "reports_stale", "drain",         "drain_late",    "deploy",
+    "zone_loss",    "all_down",       "link_slow",     "link_cut",      "link_stalls",   "reset",
+    "refused",      "swallowed",      "answer_lost",   "gateway_crash", "balancer_roll", "gateway_stall",
+    "clock_jump",   "discovery_down", "list_shrinks",  "list_doubles",  "hot_caller",    "impatience",
+    "client_reset", "memory_short",   "stale_start"};
 
 struct ClassPlan {
   const char* name;
@@ -72,6 +72,7 @@
   r.work_us = std::clamp(
       static_cast<double>(static_cast<int64_t>(plan->work_us * std::exp(plan->spread * z))), 1.0, 600'000.0);
   r.threads = plan->threads;
+  r.memory_mb = static_cast<double>(plan == &kPlans[1] ? random.between(64, 1536) : random.between(8, 64));
   r.rows =
       random.chance(0.05) ? static_cast<int>(random.between(500, 4000)) : static_cast<int>(random.below(20));
   if (r.cls == "ordered" || r.cls == "keyed") r.key = "k" + std::to_string(random.below(4));
@@ -112,6 +113,12 @@
     case Trouble::kHotCaller:
       t.value = static_cast<double>(random.between(20, 60));  // requests
       break;
+    case Trouble::kMemoryShort:
+      t.value = 0.01 + 0.2 * random.uniform();
+      break;
+    case Trouble::kStaleStart:
+      t.value = static_cast<double>(random.between(50, 1000));  // ms
+      break;
     case Trouble::kImpatience:
       t.value = 0.5;
       break;
@@ -190,6 +197,7 @@
     e.key = r.text("key", "");
     e.work_us = static_cast<double>(r.time("work", 10 * kMs));
     e.threads = r.number("threads", 0.1, 1000, 1);
+    e.memory_mb = r.number("memory", 0, 1e6, 16);
     e.rows = static_cast<int>(r.integer("rows", 0, 1'000'000, 3));
     e.patience_us = r.time("patience", 2 * kSecond);
     e.leaves_after_us = r.time("leaves_after", 0);
@@ -235,7 +243,8 @@
            "\nclass = \"" + r.cls + "\"\n";
     if (!r.key.empty()) out += "key = \"" + r.key + "\"\n";
     out += "work = " + time_text(static_cast<TimeUs>(r.work_us)) + "\nthreads = " + number_text(r.threads) +
-           "\nrows = " + std::to_string(r.rows) + "\npatience = " + time_text(r.patience_us) + "\n";
+           "\nmemory = " + number_text(r.memory_mb) + "\nrows = " + std::to_string(r.rows) +
+           "\npatience = " + time_text(r.patience_us) + "\n";
     if (r.leaves_after_us > 0) out += "leaves_after = " + time_text(r.leaves_after_us) + "\n";
     out += "tries = " + std::to_string(r.tries) + "\n";
     if (!r.mishap.empty()) out += "mishap = \"" + r.mishap + "\"\n";
--- a/src/sim/scenario.h
+++ b/src/sim/scenario.h
@@ -46,8 +46,10 @@
   kHotCaller,      // a desk asks value times as much, all of one key
   kImpatience,     // clients leave early and come back at once
   kClientReset,    // the connections of a desk break
+  kMemoryShort,    // value is the share of its memory that a node has left
+  kStaleStart,     // a gateway dies and starts from the list of then, hearing no other for value ms
 };
-constexpr int kTroubles = 31;
+constexpr int kTroubles = 33;
 const char* trouble_name(Trouble trouble);
 
 struct TroubleEvent {
@@ -69,6 +71,7 @@
   std::string key;
   double work_us = 0;
   double threads = 1;
+  double memory_mb = 16;
   int rows = 3;
   TimeUs patience_us = 0;
   TimeUs leaves_after_us = 0;  // 0: stays
--- a/tests/engine_test.cpp
+++ b/tests/engine_test.cpp
@@ -140,6 +140,23 @@
   EXPECT_NEAR(run(e, 0).at(1), 400 * kMs, 2 * kMs);
 }
 
+// What runs keeps its memory and gives back just that, whatever the memory has become since.
+TEST(Engine, WithMemoryTakenAwayNothingStartsUntilItFits) {
+  Engine e(eight_cores(), 0);
+  Job large = job(1, 100);
+  large.memory_mb = 10'000;
+  e.admit(0, large);
+  e.set_memory(0, 1'000);
+  Job small = job(2, 100);
+  small.memory_mb = 500;
+  EXPECT_EQ(e.admit(0, small), Admission::kWaiting);
+  EXPECT_EQ(run(e, 0), (std::map<uint64_t, TimeUs>{{1, 100 * kMs}, {2, 200 * kMs}}));
+  EXPECT_EQ(e.report().memory_share, 0);
+  e.set_memory(200 * kMs, 16'384);
+  large.id = 3;
+  EXPECT_EQ(e.admit(200 * kMs, large), Admission::kRunning);
+}
+
 TEST(StatementHint, IsReadFromTheComment) {
   const StatementHint h = read_hint("SELECT /*+ work=20ms threads=4 rows=9 mishap=lost on_attempt=0 */ 1");
   EXPECT_EQ(h.work_us, 20'000);
--- a/tests/sim_test.cpp
+++ b/tests/sim_test.cpp
@@ -305,6 +305,45 @@
 at = "3s"
 for = "500ms"
 )";
+constexpr const char* kMemoryGone = R"(
+[world]
+seed = 10
+nodes = 1
+zones = 1
+gateways = 1
+[[request]]
+number = 1
+at = "1s"
+class = "report"
+work = "400ms"
+memory = 4000
+[[request]]
+number = 2
+at = "1100ms"
+class = "report"
+work = "50ms"
+memory = 1000
+[[trouble]]
+kind = "memory_short"
+value = 0.1
+at = "1050ms"
+for = "2s"
+)";
+constexpr const char* kStartsStale = R"(
+[world]
+seed = 11
+requests = 300
+[[trouble]]
+kind = "stale_start"
+at = "2s"
+for = "1500ms"
+value = 800
+[[trouble]]
+kind = "drain"
+target = 1
+at = "2500ms"
+for = "300ms"
+)";
 
 INSTANTIATE_TEST_SUITE_P(
     Named, HardCases,
@@ -325,6 +364,10 @@
         HardCase{"AGatewayRestartsInAColdWindow",
                  kRestartInColdWindow,
                  {"n0 starts", "g0 dies", "g0 starts", "g0 takes"}},
+        HardCase{"MemoryIsGoneAndQueriesLineUp", kMemoryGone, {"n0 has", "q1-0 ends: OK", "q2-0 ends: OK"}},
+        HardCase{"AGatewayStartsFromAStaleList",
+                 kStartsStale,
+                 {"g0 dies", "n1 dies", "n1 starts", "g0 starts", "g0 is told that n1 is ready"}},
         HardCase{"AListNamesANodeTwice", kTwiceInList, {"trouble list_doubles", "g0 sends"}}),
     [](const auto& named) { return std::string(named.param.name); });
 
