--- a/src/sim/observer.cpp
+++ b/src/sim/observer.cpp
@@ -69,16 +69,20 @@
   if (!request_of(call).empty() || !is_request(call)) return;
   const std::string tag = tag_of(call);
   const auto asked = asked_.find(tag);
-  if (asked == asked_.end()) return;
+  const auto gone = gone_.find(tag);
+  if (asked == asked_.end() && gone == gone_.end()) return;
   Taken& taken = taken_[tag];
   taken.arrived_at = world_.now();
   taken.deadline_at = call.deadline_at;
   taken.gateway = call.server;
   taken.gateway_life = lives_[call.server];
   tell(call.server + " takes " + tag);
-  ClientRecord c = asked->second;
+  ClientRecord c = asked != asked_.end() ? asked->second : gone->second;
   c.asked_at = world_.now();  // as its gateway counts
   rules_.asked(c);
+  if (gone == gone_.end()) return;
+  ending_[tag] = std::move(gone->second);
+  gone_.erase(gone);
 }
 
 void Observer::answer_left(const CallFacts& call, const rpc::Status& status) {
@@ -230,8 +234,12 @@
     ending_[client.tag] = std::move(client);
     return;
   }
+  if (it == taken_.end()) {
+    gone_[client.tag] = std::move(client);
+    return;
+  }
   rules_.ended(client);
-  if (it != taken_.end()) taken_.erase(it);
+  taken_.erase(it);
 }
 
 // ---- Steps -----------------------------------------------------------------------------------------------
--- a/src/sim/observer.h
+++ b/src/sim/observer.h
@@ -79,6 +79,8 @@
   audit::Rules rules_;
   std::map<std::string, audit::ClientRecord> asked_;  // by tag; until their end
   std::map<std::string, Taken> taken_;                // by tag
+  // Ended at their clients before their requests arrived anywhere: these still may.
+  std::map<std::string, audit::ClientRecord> gone_;
   // Ended at their clients, while their gateways haven't heard of it.
   std::map<std::string, audit::ClientRecord> ending_;
   // Attempts that are out, as their gateways' sockets show them: a call for the ticket and one for the
--- a/src/sim/run.cpp
+++ b/src/sim/run.cpp
@@ -40,12 +40,12 @@
 drain_grace = "250ms"
 cold_from = 0.35
 warm_after = "6s"
-fall_multiple = 3
+fall_multiple = 2
 fall_after = "1500ms"
 turn_gap = "400ms"
 budget_window = "5s"
-budget_free = 10
-budget_per_request = 0.3
+budget_free = 5
+budget_per_request = 0.2
 [[kind]]
 name = "stand-in"
 [[class]]
--- a/src/sim/scenario.cpp
+++ b/src/sim/scenario.cpp
@@ -35,16 +35,17 @@
   return std::string(what) + "/" + std::to_string(number);
 }
 
-// In half of the worlds most troubles come together, and the load with them.
+// In some worlds every other request is a report, and the nodes go down and come back one by one: only so
+// much work can push a cold node over.
+bool heavy(const Scenario& s) { return RandomStream(s.seed, "heavy").chance(0.2); }
+
+// In half of the worlds most troubles come together, and the load with them; in the heavy ones always.
 TimeUs storm_of(const Scenario& s) {
   RandomStream random(s.seed, "storm");
   const TimeUs at = random.between(2 * kSecond, s.length_us / 2);
-  return random.chance(0.5) ? at : 0;
+  return heavy(s) || random.chance(0.5) ? at : 0;
 }
 
-// In some worlds every other request is a report: only those can push a cold node over.
-bool heavy(const Scenario& s) { return RandomStream(s.seed, "heavy").chance(0.3); }
-
 RequestEvent make_request(const Scenario& s, uint64_t number) {
   RandomStream random(s.seed, named("request", number));
   RequestEvent r;
@@ -162,6 +163,13 @@
   for (uint64_t i = 1; i <= requests; ++i) s.requests.push_back(make_request(s, i));
   const auto troubles = static_cast<uint64_t>(random.between(3, 8));
   for (uint64_t i = 1; i <= troubles; ++i) s.troubles.push_back(make_trouble(s, i));
+  if (heavy(s)) {
+    TroubleEvent& first = s.troubles.front();
+    first.kind = Trouble::kAllDown;
+    first.at = storm_of(s);
+    first.how_long = 300 * kMs + first.how_long / 8;
+    first.second |= 1;
+  }
   return s;
 }
 
