--- /dev/null
+++ b/src/rpc/tcp_stream.cpp
@@ -0,0 +1,230 @@
+#include "rpc/tcp_stream.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <stdexcept>
+#include <utility>
+
+#include "base/signal.h"
+
+namespace sablelink::rpc {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+constexpr size_t kPiece = 64 << 10;  // most bytes of one read or write
+
+// Numbers alone: names are resolved by whoever configures addresses.
+tcp::endpoint endpoint_of(const std::string& address) {
+  const size_t colon = address.rfind(':');
+  error_code error;
+  tcp::endpoint out;
+  if (colon != std::string::npos) {
+    std::string host = address.substr(0, colon);
+    if (host == "localhost") host = "127.0.0.1";
+    const std::string port = address.substr(colon + 1);
+    const bool digits = !port.empty() && port.size() <= 5 &&
+                        std::all_of(port.begin(), port.end(), [](char c) { return c >= '0' && c <= '9'; });
+    const auto ip = asio::ip::make_address(host, error);
+    if (!error && digits && std::stoi(port) <= 65535)
+      return {ip, static_cast<unsigned short>(std::stoi(port))};
+  }
+  throw std::runtime_error("'" + address + "' is no address of the form 127.0.0.1:8080");
+}
+
+}  // namespace
+
+// One socket, on the context's thread; its end on the strand holds it, and so does each operation.
+class TcpNet::Socket : public ByteStream, public std::enable_shared_from_this<TcpNet::Socket> {
+ public:
+  Socket(asio::io_context& context, std::function<void(std::function<void()>)> post)
+      : context_(context), post_(std::move(post)), socket_(context) {}
+
+  // What an operation comes to; done is given on the strand.
+  struct Operation {
+    std::string bytes;
+    error_code error;
+    size_t count = 0;
+    Signal done;
+  };
+
+  Awaitable<std::optional<std::string>> read(size_t most) override {
+    const auto op = std::make_shared<Operation>();
+    op->bytes.resize(std::clamp<size_t>(most, 1, kPiece));
+    asio::post(context_, [self = shared_from_this(), op] {
+      self->socket_.async_read_some(asio::buffer(op->bytes), self->over(op));
+    });
+    co_await op->done.wait();
+    if (op->error == asio::error::eof) co_return std::string();
+    if (op->error) co_return std::nullopt;
+    op->bytes.resize(op->count);
+    co_return std::move(op->bytes);
+  }
+
+  Awaitable<size_t> write(std::string_view bytes) override {
+    const auto op = std::make_shared<Operation>();
+    op->bytes = bytes.substr(0, kPiece);
+    asio::post(context_, [self = shared_from_this(), op] {
+      self->socket_.async_write_some(asio::buffer(op->bytes), self->over(op));
+    });
+    co_await op->done.wait();
+    co_return op->error ? 0 : op->count;
+  }
+
+  void end() override {
+    asio::post(context_, [self = shared_from_this()] {
+      error_code ignored;
+      self->ended_ = true;
+      self->socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    });
+  }
+
+  void close() override {
+    asio::post(context_, [self = shared_from_this()] { self->shut(); });
+  }
+
+  // ---- On the context's thread
+  // -----------------------------------------------------------------------------
+  void shut() {
+    error_code ignored;
+    // Without an end before, the other side is to hear of a break, not of an end.
+    if (!ended_) socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    socket_.close(ignored);
+  }
+  void connect(const tcp::endpoint& to, const std::shared_ptr<Operation>& op) {
+    socket_.async_connect(to, [finish = over(op)](error_code error) mutable { finish(error, 0); });
+  }
+  tcp::socket& raw() { return socket_; }
+  void set_up() {
+    error_code ignored;
+    socket_.set_option(tcp::no_delay(true), ignored);
+  }
+
+ private:
+  std::function<void(error_code, size_t)> over(std::shared_ptr<Operation> op) {
+    return [self = shared_from_this(), op = std::move(op)](error_code error, size_t count) {
+      op->error = error;
+      op->count = count;
+      self->post_([op] { op->done.give(); });
+    };
+  }
+
+  asio::io_context& context_;
+  const std::function<void(std::function<void()>)> post_;
+  tcp::socket socket_;
+  bool ended_ = false;
+};
+
+namespace {
+
+// What the strand's code holds: letting go of it closes the socket, which its operations may still hold.
+class Held : public ByteStream {
+ public:
+  explicit Held(std::shared_ptr<ByteStream> socket) : socket_(std::move(socket)) {}
+  ~Held() override { socket_->close(); }
+  Awaitable<std::optional<std::string>> read(size_t most) override { return socket_->read(most); }
+  Awaitable<size_t> write(std::string_view bytes) override { return socket_->write(bytes); }
+  void end() override { socket_->end(); }
+  void close() override { socket_->close(); }
+
+ private:
+  const std::shared_ptr<ByteStream> socket_;
+};
+
+}  // namespace
+
+class TcpNet::Acceptor : public std::enable_shared_from_this<TcpNet::Acceptor> {
+ public:
+  Acceptor(TcpNet& net, const tcp::endpoint& at, StreamHandler handler)
+      : net_(net), acceptor_(net.context_, at), handler_(std::move(handler)) {}
+  int port() const { return acceptor_.local_endpoint().port(); }
+  void close() {
+    error_code ignored;
+    acceptor_.close(ignored);
+  }
+  void accept() {
+    const auto socket = std::make_shared<Socket>(net_.context_, net_.strand_.post);
+    acceptor_.async_accept(socket->raw(), [self = shared_from_this(), socket](error_code error) {
+      if (self->net_.ending_ || error == asio::error::operation_aborted) return;
+      if (!error) self->serve(socket);
+      self->accept();
+    });
+  }
+
+ private:
+  void serve(const std::shared_ptr<Socket>& socket) {
+    socket->set_up();
+    std::erase_if(net_.sockets_, [](const auto& weak) { return weak.expired(); });
+    net_.sockets_.push_back(socket);
+    net_.strand_.post([executor = net_.strand_.executor, handler = handler_, socket] {
+      asio::co_spawn(
+          executor,
+          [](StreamHandler run, std::shared_ptr<ByteStream> stream) -> Awaitable<void> {
+            co_await run(std::move(stream));
+          }(handler, std::make_shared<Held>(socket)),
+          asio::detached);
+    });
+  }
+
+  TcpNet& net_;
+  tcp::acceptor acceptor_;
+  const StreamHandler handler_;
+};
+
+TcpNet::TcpNet(Strand strand)
+    : strand_(std::move(strand)), guard_(context_.get_executor()), thread_([this] { context_.run(); }) {}
+
+TcpNet::~TcpNet() {
+  asio::post(context_, [this] {
+    ending_ = true;
+    for (const auto& acceptor : acceptors_) acceptor->close();
+    for (const auto& weak : sockets_)
+      if (const std::shared_ptr<Socket> socket = weak.lock()) socket->shut();
+  });
+  guard_.reset();
+  thread_.join();
+}
+
+int TcpNet::listen(const std::string& address, StreamHandler handler) {
+  const tcp::endpoint at = endpoint_of(address);
+  std::shared_ptr<Acceptor> acceptor;
+  try {
+    acceptor = std::make_shared<Acceptor>(*this, at, std::move(handler));
+  } catch (const boost::system::system_error& e) {
+    throw std::runtime_error("can't listen at " + address + ": " + e.code().message());
+  }
+  const int port = acceptor->port();
+  asio::post(context_, [this, acceptor] {
+    acceptors_.push_back(acceptor);
+    acceptor->accept();
+  });
+  return port;
+}
+
+Awaitable<std::shared_ptr<ByteStream>> TcpNet::connect(std::string address, TimeUs within) {
+  const tcp::endpoint to = endpoint_of(address);
+  const auto socket = std::make_shared<Socket>(context_, strand_.post);
+  const auto op = std::make_shared<Socket::Operation>();
+  const auto over = std::make_shared<bool>(false);
+  asio::post(context_, [this, socket, op, to] {
+    sockets_.push_back(socket);
+    socket->connect(to, op);
+  });
+  strand_.clock.call_after(within, [weak = std::weak_ptr<Socket>(socket), over] {
+    const std::shared_ptr<Socket> s = weak.lock();
+    if (s && !*over) s->close();
+  });
+  co_await op->done.wait();
+  *over = true;
+  if (op->error) co_return nullptr;
+  asio::post(context_, [socket] { socket->set_up(); });
+  co_return std::make_shared<Held>(socket);
+}
+
+}  // namespace sablelink::rpc
