--- a/tests/loopback_test.cpp
+++ b/tests/loopback_test.cpp
@@ -888,11 +888,11 @@
   const std::vector<TimeUs> allowed = {123'400,     1'001'000, 2'401'000, 9'991'000, 12'301'000,
                                        100'001'000, 2'869'000, 2'797'000, 7'630'000, 7'412'000};
   for (const TimeUs us : allowed) spawn(client_->ask("SELECT 1", options(us))).get();
-  std::vector<TimeUs> seen;
-  {
+  const auto taken_so_far = [&] {
     const std::lock_guard lock(mutex);
-    seen = taken;
-  }
+    return taken;
+  };
+  const std::vector<TimeUs> seen = taken_so_far();
   ASSERT_EQ(seen.size(), allowed.size());
   for (size_t i = 0; i < seen.size(); ++i) {
     EXPECT_LE(seen[i], allowed[i]);
@@ -900,7 +900,7 @@
   }
   spawn(client_->ask("SELECT 1", options(0))).get();
   server_loop.run([] {});
-  EXPECT_EQ(seen.back(), -1);
+  EXPECT_EQ(taken_so_far().back(), -1);
 }
 
 TEST_F(Loopback, APortInUseIsAnError) {
