--- a/src/sim/network.h
+++ b/src/sim/network.h
@@ -42,7 +42,7 @@
 struct LinkTerms {
   TimeUs base_us = 150;            // one way
   double jitter_us = 150;          // mean of an exponential
-  size_t window_bytes = 64 << 10;  // unread bytes of a call, each way
+  size_t window_bytes = 64 << 10;  // unread bytes of a call or stream, each way
 };
 
 class Network {
--- a/src/sim/streams.h
+++ b/src/sim/streams.h
@@ -9,19 +9,14 @@
 #include <vector>
 
 #include "rpc/byte_stream.h"
+#include "sim/network.h"
 #include "sim/world.h"
 
 namespace sablelink::sim {
 
-struct StreamTerms {
-  TimeUs base_us = 150;            // one way
-  double jitter_us = 150;          // mean of an exponential
-  size_t window_bytes = 64 << 10;  // written and not yet read, each way
-};
-
 class Streams {
  public:
-  Streams(World& world, StreamTerms terms) : world_(world), terms_(terms) {}
+  Streams(World& world, LinkTerms terms) : world_(world), terms_(terms) {}
   Streams(const Streams&) = delete;
   Streams& operator=(const Streams&) = delete;
 
@@ -45,7 +40,7 @@
   static void break_side(const std::shared_ptr<Connection>& c, int side);
 
   World& world_;
-  const StreamTerms terms_;
+  const LinkTerms terms_;
   std::map<std::string, Listener> listeners_;
   std::map<std::string, uint64_t> made_;
   std::vector<std::weak_ptr<Connection>> connections_;
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -120,6 +120,10 @@
             "desk.toml:8: limits.max_open: 0 is not from 1 to 1000000");
   EXPECT_EQ(error_of(kGood, "drain_grace = \"500ms\"", "drain_grace = 500"),
             "desk.toml:11: rules.drain_grace: must be a time such as \"250ms\" or \"1.5s\"");
+  EXPECT_EQ(error_of(kGood, "drain_grace = \"500ms\"", "drain_grace = \"100ms\""),
+            "desk.toml:11: rules.drain_grace: must not be under limits.dial_timeout");
+  EXPECT_EQ(error_of(kGood, "budget_window = \"10s\"", "budget_window = \"250ms\"").substr(14),
+            "rules.budget_window: must be over limits.dial_timeout");
   EXPECT_EQ(error_of(kGood, "zone = \"west\"", "zone = \"north\""),
             "desk.toml:6: gateway.zone: 'north' isn't configured");
   EXPECT_EQ(error_of(kGood, "repeat = \"unsafe\"", "repeat = \"maybe\""),
--- a/tests/stream_test.cpp
+++ b/tests/stream_test.cpp
@@ -2,7 +2,6 @@
 #include <gtest/gtest.h>
 
 #include <atomic>
-#include <boost/asio/co_spawn.hpp>
 #include <chrono>
 #include <memory>
 #include <thread>
@@ -12,6 +11,7 @@
 #include "rpc/grpc_loop.h"
 #include "rpc/tcp_stream.h"
 #include "sim/streams.h"
+#include "sim_harness.h"
 
 namespace sablelink {
 namespace {
@@ -66,16 +66,7 @@
   }
   std::string unused_address() override { return "nobody"; }
   Clock& clock() override { return *client_; }
-  void run(Awaitable<void> work) override {
-    bool done = false;
-    boost::asio::co_spawn(world_.executor(), std::move(work), [&](const std::exception_ptr& error) {
-      done = true;
-      if (error) std::rethrow_exception(error);
-    });
-    world_.settle();
-    while (!done && world_.step()) continue;
-    ASSERT_TRUE(done) << "nothing is left to come, and the client still waits";
-  }
+  void run(Awaitable<void> work) override { test::run_in(world_, std::move(work)); }
 
  private:
   sim::Account account_;
--- a/tests/transport_test.cpp
+++ b/tests/transport_test.cpp
@@ -3,8 +3,6 @@
 #include <gtest/gtest.h>
 
 #include <atomic>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <chrono>
 #include <memory>
 #include <thread>
@@ -14,6 +12,7 @@
 #include "rpc/grpc_loop.h"
 #include "rpc/grpc_server.h"
 #include "sim/network.h"
+#include "sim_harness.h"
 
 namespace sablelink {
 namespace {
@@ -97,16 +96,7 @@
   void stop_server() override { network_.close(listener_); }
   std::unique_ptr<rpc::Channel> open(const std::string& address) override { return channels_->open(address); }
   std::string unused_address() override { return "nobody"; }
-  void run(Awaitable<void> work) override {
-    bool done = false;
-    boost::asio::co_spawn(world_.executor(), std::move(work), [&](const std::exception_ptr& error) {
-      done = true;
-      if (error) std::rethrow_exception(error);
-    });
-    world_.settle();
-    while (!done && world_.step()) continue;
-    ASSERT_TRUE(done) << "nothing is left to come, and the client still waits";
-  }
+  void run(Awaitable<void> work) override { test::run_in(world_, std::move(work)); }
   bool wait_for(const std::function<bool()>& condition) override {
     while (!condition())
       if (!world_.step()) return condition();
