--- a/tests/sim_test.cpp
+++ b/tests/sim_test.cpp
@@ -411,11 +411,12 @@
   EXPECT_EQ(stands, false);
 }
 
-// The end of a client's patience, or its leaving, at every moment around the answer's.
+// The end of a client's patience, or its leaving, at any moment of a request's life, and at every moment
+// around the answer's.
 TEST(Simulation, TimesThatMeetTheAnswersKeepEveryRule) {
   for (const bool leaves : {false, true}) {
     uint64_t served = 0, other = 0;
-    for (TimeUs moment = 70'000; moment < 76'000; moment += 40) {
+    for (TimeUs moment = 50; moment < 76'000; moment += moment < 3'000 ? 30 : moment < 70'000 ? 700 : 25) {
       Scenario s;
       s.gateways = 1;
       s.nodes = s.zones = 1;
