Read again: one arrival, one first word, one way to reach a gateway; sockets forgotten

What the change had in two or three places stands once: when a message arrives on a simulated way (LinkTerms::arrival), the first word of several (FirstWord), connecting at the cost of a client's patience (Client::reach), whether a node's fault holds (Fault::holds_at). A world's character is drawn once and not for each of its requests. TcpNet kept a weak pointer for each connection it ever dialled; both ways in now clear those that are gone. Streams::stop had no caller; reset had no test and has one.

--- a/src/base/signal.h
+++ b/src/base/signal.h
@@ -53,6 +53,24 @@
   bool given_ = false;
 };
 
+// The first of several words that may come, yes or no; the others come for nothing. One may wait for it.
+class FirstWord {
+ public:
+  void tell(bool yes) {
+    if (std::exchange(told_, true)) return;
+    yes_ = yes;
+    heard_.give();
+  }
+  boost::asio::awaitable<bool> wait() {
+    co_await heard_.wait();
+    co_return yes_;
+  }
+
+ private:
+  Signal heard_;
+  bool told_ = false, yes_ = false;
+};
+
 // Goes on after the time. Not longer than its clock may live.
 inline boost::asio::awaitable<void> pause(Clock& clock, TimeUs how_long) {
   Signal over;
--- a/src/flightsql/client.cpp
+++ b/src/flightsql/client.cpp
@@ -42,6 +42,14 @@
     if (const auto call = weak.lock()) call->cancel();
 }
 
+Awaitable<std::optional<rpc::Status>> Client::reach(ClientOptions* options) {
+  const TimeUs begin = clock_.now();
+  const bool connected = co_await channel_->connect(options->dial_timeout_us);
+  if (!connected) co_return no_connection();
+  if (!spend(options, begin)) co_return time_up();
+  co_return std::nullopt;
+}
+
 bool Client::spend(ClientOptions* options, TimeUs begin) const {
   if (options->timeout_us == 0) return true;
   options->timeout_us -= clock_.now() - begin;
@@ -57,15 +65,10 @@
 
 Awaitable<Client::Ticket> Client::ask(std::string statement, ClientOptions options) {
   Ticket out;
-  const TimeUs begin = clock_.now();
-  const bool connected = co_await channel_->connect(options.dial_timeout_us);
-  if (!connected) {
-    out.connected = false;
-    out.status = no_connection();
-    co_return out;
-  }
-  if (!spend(&options, begin)) {
-    out.status = time_up();
+  const std::optional<rpc::Status> hindered = co_await reach(&options);
+  if (hindered) {
+    out.connected = hindered->code != Code::kUnavailable;
+    out.status = *hindered;
     co_return out;
   }
   fsql::CommandStatementQuery command;
@@ -144,16 +147,11 @@
 
 Awaitable<QueryResult> Client::update(std::string statement, ClientOptions options) {
   QueryResult out;
-  const TimeUs begin = clock_.now();
-  const bool connected = co_await channel_->connect(options.dial_timeout_us);
-  if (!connected) {
-    out.status = no_connection();
-    out.verdict = carrier::Verdict::kRefused;
-    co_return out;
-  }
-  out.connected = true;
-  if (!spend(&options, begin)) {
-    out.status = time_up();
+  const std::optional<rpc::Status> hindered = co_await reach(&options);
+  out.connected = !hindered || hindered->code != Code::kUnavailable;
+  if (hindered) {
+    out.status = *hindered;
+    if (!out.connected) out.verdict = carrier::Verdict::kRefused;
     co_return out;
   }
   fsql::CommandStatementUpdate command;
@@ -176,14 +174,9 @@
 
 Awaitable<Client::ActionResult> Client::action(std::string type, std::string body, ClientOptions options) {
   ActionResult out;
-  const TimeUs begin = clock_.now();
-  const bool connected = co_await channel_->connect(options.dial_timeout_us);
-  if (!connected) {
-    out.status = no_connection();
-    co_return out;
-  }
-  if (!spend(&options, begin)) {
-    out.status = time_up();
+  const std::optional<rpc::Status> hindered = co_await reach(&options);
+  if (hindered) {
+    out.status = *hindered;
     co_return out;
   }
   flight::Action action;
--- a/src/flightsql/client.h
+++ b/src/flightsql/client.h
@@ -81,6 +81,10 @@
  private:
   std::shared_ptr<rpc::ClientCall> call(std::string_view method, const ClientOptions& options);
 
+  // Connects, at the cost of the patience. Why no call can be made: UNAVAILABLE where there is no connection,
+  // DEADLINE_EXCEEDED where no time is left; nothing where one can.
+  rpc::Awaitable<std::optional<rpc::Status>> reach(ClientOptions* options);
+
   // Takes what has passed since begin off the patience; false where none is left.
   bool spend(ClientOptions* options, TimeUs begin) const;
 
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -88,7 +88,7 @@
   double budget_free = 0;
   double budget_per_request = 0;
   TimeUs budget_window_us = 0;
-  TimeUs send_lag_us = 0;  // most from a decision to send to the attempt's leaving: a connection may be made first
+  TimeUs send_lag_us = 0;  // most from a send's decision to its leaving: a connection may be made first
   double cross_zone_fee = 0;
   double probe_fee = 0;
 };
--- a/src/nodes/node_config.h
+++ b/src/nodes/node_config.h
@@ -28,6 +28,7 @@
   FaultKind kind = FaultKind::kHang;
   TimeUs from_us = 0, for_us = 0;
   double value = 1;
+  bool holds_at(TimeUs age) const { return age >= from_us && age < from_us + for_us; }
 };
 
 struct NodeConfig {
--- a/src/nodes/stand_in.cpp
+++ b/src/nodes/stand_in.cpp
@@ -92,9 +92,8 @@
 
 bool StandIn::struck_by(FaultKind kind) const {
   const TimeUs age = clock_.now() - started_;
-  return std::any_of(faults_.begin(), faults_.end(), [&](const Fault& f) {
-    return f.kind == kind && age >= f.from_us && age < f.from_us + f.for_us;
-  });
+  return std::any_of(faults_.begin(), faults_.end(),
+                     [&](const Fault& f) { return f.kind == kind && f.holds_at(age); });
 }
 
 void StandIn::begin_fault(FaultKind kind, TimeUs for_us, double value) {
@@ -109,7 +108,7 @@
   const TimeUs age = clock_.now() - started_;
   double slow = 1, memory = 1;
   for (const Fault& f : faults_) {
-    if (age < f.from_us || age >= f.from_us + f.for_us) continue;
+    if (!f.holds_at(age)) continue;
     if (f.kind == FaultKind::kSlow) slow = std::max(slow, f.value);
     if (f.kind == FaultKind::kMemoryShort) memory = std::min(memory, f.value);
   }
--- a/src/rpc/tcp_stream.cpp
+++ b/src/rpc/tcp_stream.cpp
@@ -160,8 +160,7 @@
  private:
   void serve(const std::shared_ptr<Socket>& socket) {
     socket->set_up();
-    std::erase_if(net_.sockets_, [](const auto& weak) { return weak.expired(); });
-    net_.sockets_.push_back(socket);
+    net_.keep(socket);
     net_.strand_.post([executor = net_.strand_.executor, handler = handler_, socket] {
       asio::co_spawn(
           executor,
@@ -191,6 +190,11 @@
   thread_.join();
 }
 
+void TcpNet::keep(const std::shared_ptr<Socket>& socket) {
+  std::erase_if(sockets_, [](const auto& weak) { return weak.expired(); });
+  sockets_.push_back(socket);
+}
+
 int TcpNet::listen(const std::string& address, StreamHandler handler) {
   const tcp::endpoint at = endpoint_of(address);
   std::shared_ptr<Acceptor> acceptor;
@@ -213,7 +217,7 @@
   const auto op = std::make_shared<Socket::Operation>();
   const auto over = std::make_shared<bool>(false);
   asio::post(context_, [this, socket, op, to] {
-    sockets_.push_back(socket);
+    keep(socket);
     socket->connect(to, op);
   });
   strand_.clock.call_after(within, [weak = std::weak_ptr<Socket>(socket), over] {
--- a/src/rpc/tcp_stream.h
+++ b/src/rpc/tcp_stream.h
@@ -41,6 +41,9 @@
   class Socket;
   class Acceptor;
 
+  // To be closed at the end, if it is still there; on the context's thread.
+  void keep(const std::shared_ptr<Socket>& socket);
+
   const Strand strand_;
   boost::asio::io_context context_;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> guard_;
--- a/src/sim/network.cpp
+++ b/src/sim/network.cpp
@@ -338,13 +338,13 @@
 
   Awaitable<bool> connect(TimeUs within) override {
     if (up()) co_return true;
-    const auto waiter = std::make_shared<Waiter>();
+    const auto waiter = std::make_shared<FirstWord>();
     begin();
     if (!connecting_) co_return false;
     waiters_.push_back(waiter);
     actor_->call_after(within, [waiter] { waiter->tell(false); });
-    co_await waiter->told.wait();
-    co_return waiter->result;
+    const bool stands = co_await waiter->wait();
+    co_return stands;
   }
 
   std::unique_ptr<rpc::ClientCall> call(std::string method, rpc::Metadata metadata, TimeUs allow) override {
@@ -367,16 +367,6 @@
   }
 
  private:
-  struct Waiter {
-    Signal told;
-    bool result = false, done = false;
-    void tell(bool r) {
-      if (std::exchange(done, true)) return;
-      result = r;
-      told.give();
-    }
-  };
-
   bool up() const { return connection_ && connection_->state == Connection::State::kUp; }
 
   // Begins a connection where none stands or comes about, unless the last has just failed.
@@ -400,7 +390,7 @@
   std::shared_ptr<Connection> connection_;
   bool connecting_ = false;
   TimeUs not_before_ = 0;
-  std::vector<std::shared_ptr<Waiter>> waiters_;
+  std::vector<std::shared_ptr<FirstWord>> waiters_;
   const std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
@@ -492,11 +482,9 @@
     connection->held.emplace_back(to_server, std::move(fn));
     return;
   }
-  const TimeUs way = terms_.base_us + static_cast<TimeUs>(connection->random.exponential(terms_.jitter_us)) +
-                     slowed(connection->address);
-  TimeUs& last = connection->arrives[to_server ? 1 : 0];
-  last = std::max(last + 1, world_.now() + way);
-  world_.at(last, [this, connection, to_server, fn = std::move(fn)]() mutable {
+  const TimeUs arrives = terms_.arrival(world_.now(), slowed(connection->address), &connection->random,
+                                        &connection->arrives[to_server ? 1 : 0]);
+  world_.at(arrives, [this, connection, to_server, fn = std::move(fn)]() mutable {
     if (connection->state == Connection::State::kBroken || connection->silent) return;
     if (connection->cut) {  // it was on its way when the line went
       connection->held.emplace_back(to_server, std::move(fn));
--- a/src/sim/network.h
+++ b/src/sim/network.h
@@ -6,6 +6,7 @@
 // Everything on the world's one thread.
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <set>
@@ -43,6 +44,14 @@
   TimeUs base_us = 150;            // one way
   double jitter_us = 150;          // mean of an exponential
   size_t window_bytes = 64 << 10;  // unread bytes of a call or stream, each way
+
+  // When what leaves now arrives: later than all before it on the same way, whose latest arrival this takes
+  // over. delay_us: added to the way.
+  TimeUs arrival(TimeUs now, TimeUs delay_us, RandomStream* random, TimeUs* latest) const {
+    const TimeUs way = base_us + static_cast<TimeUs>(random->exponential(jitter_us)) + delay_us;
+    *latest = std::max(*latest + 1, now + way);
+    return *latest;
+  }
 };
 
 class Network {
--- a/src/sim/run.cpp
+++ b/src/sim/run.cpp
@@ -169,16 +169,15 @@
     }
     TimeUs look_at = end + kLookUs;
     end += kQuietUs;
-    bool stopped = false;
-    while (!stopped && world_.step() && world_.now() <= end) {
+    const auto stopped = [&] { return options_.stop_at_finding && !observer_.findings().empty(); };
+    while (!stopped() && world_.step() && world_.now() <= end) {
       check_step();
-      stopped = options_.stop_at_finding && !observer_.findings().empty();
       if (world_.now() < look_at) continue;
       look_at += kLookUs;
       if (unrest().empty()) break;
     }
     // The world is quiet: every table must be empty, and nothing held for ever.
-    if (!stopped)
+    if (!stopped())
       for (const std::string& what : unrest()) observer_.broken(what);
     observer_.close();
     observer_.after_step();
--- a/src/sim/scenario.cpp
+++ b/src/sim/scenario.cpp
@@ -35,27 +35,37 @@
   return std::string(what) + "/" + std::to_string(number);
 }
 
-// In some worlds every other request is a report, and the nodes go down and come back one by one: only so
-// much work can push a cold node over.
-bool heavy(const Scenario& s) { return RandomStream(s.seed, "heavy").chance(0.2); }
+// What all requests and troubles of a world have in common.
+struct Character {
+  // Every other request is a report, and the nodes go down and come back one by one: only so much work can
+  // push a cold node over.
+  bool heavy;
+  // Most troubles come together, and the load with them; 0: they don't. In half of the worlds, and in the
+  // heavy ones always.
+  TimeUs storm;
+  TimeUs burst;  // a quarter of the requests come at once
+};
 
-// In half of the worlds most troubles come together, and the load with them; in the heavy ones always.
-TimeUs storm_of(const Scenario& s) {
+Character character_of(const Scenario& s) {
+  Character c;
+  c.heavy = RandomStream(s.seed, "heavy").chance(0.2);
   RandomStream random(s.seed, "storm");
   const TimeUs at = random.between(2 * kSecond, s.length_us / 2);
-  return heavy(s) || random.chance(0.5) ? at : 0;
+  c.storm = c.heavy || random.chance(0.5) ? at : 0;
+  c.burst = RandomStream(s.seed, "burst").between(kSecond, s.length_us - kSecond);
+  return c;
 }
 
-RequestEvent make_request(const Scenario& s, uint64_t number) {
+RequestEvent make_request(const Scenario& s, const Character& world, uint64_t number) {
   RandomStream random(s.seed, named("request", number));
   RequestEvent r;
   r.number = number;
   // Some come one by one, some all at once.
-  const TimeUs storm = storm_of(s);
-  const TimeUs burst = RandomStream(s.seed, "burst").between(kSecond, s.length_us - kSecond);
   const TimeUs in_burst = random.between(0, 200 * kMs), anywhere = random.between(0, s.length_us);
   const double when = random.uniform();
-  r.at = when < 0.25 ? burst + in_burst : storm > 0 && when < 0.6 ? storm + in_burst * 10 : anywhere;
+  r.at = when < 0.25                     ? world.burst + in_burst
+         : world.storm > 0 && when < 0.6 ? world.storm + in_burst * 10
+                                         : anywhere;
   r.desk = static_cast<int>(random.below(s.desks));
   r.gateway = static_cast<int>(random.below(s.gateways));
   double draw = random.uniform();
@@ -64,7 +74,7 @@
     plan = &p;
     if ((draw -= p.share) < 0) break;
   }
-  if (random.chance(0.5) && heavy(s)) plan = &kPlans[1];
+  if (random.chance(0.5) && world.heavy) plan = &kPlans[1];
   r.cls = plan->name;
   // A sum of uniforms is near enough to a normal draw, and the same on every machine.
   double z = -6;
@@ -89,14 +99,14 @@
   return r;
 }
 
-TroubleEvent make_trouble(const Scenario& s, uint64_t number) {
+TroubleEvent make_trouble(const Scenario& s, const Character& world, uint64_t number) {
   RandomStream random(s.seed, named("trouble", number));
   TroubleEvent t;
   t.number = number;
   t.kind = static_cast<Trouble>(random.below(kTroubles));
   t.at = random.between(500 * kMs, s.length_us * 3 / 4);
-  const TimeUs storm = storm_of(s), in_storm = random.between(0, 500 * kMs);
-  if (random.chance(0.7) && storm > 0) t.at = storm + in_storm;
+  const TimeUs in_storm = random.between(0, 500 * kMs);
+  if (random.chance(0.7) && world.storm > 0) t.at = world.storm + in_storm;
   t.how_long = random.between(50 * kMs, 4 * kSecond);
   t.target = static_cast<int>(random.below(64));
   t.second = static_cast<int>(random.below(64));
@@ -160,13 +170,14 @@
   s.zones = static_cast<int>(random.between(1, 3));
   s.probes = random.chance(0.5);
   const auto requests = static_cast<uint64_t>(random.between(300, 360));
-  for (uint64_t i = 1; i <= requests; ++i) s.requests.push_back(make_request(s, i));
+  const Character world = character_of(s);
+  for (uint64_t i = 1; i <= requests; ++i) s.requests.push_back(make_request(s, world, i));
   const auto troubles = static_cast<uint64_t>(random.between(3, 8));
-  for (uint64_t i = 1; i <= troubles; ++i) s.troubles.push_back(make_trouble(s, i));
-  if (heavy(s)) {
+  for (uint64_t i = 1; i <= troubles; ++i) s.troubles.push_back(make_trouble(s, world, i));
+  if (world.heavy) {
     TroubleEvent& first = s.troubles.front();
     first.kind = Trouble::kAllDown;
-    first.at = storm_of(s);
+    first.at = world.storm;
     first.how_long = 300 * kMs + first.how_long / 8;
     first.second |= 1;
   }
@@ -191,7 +202,8 @@
   // So many requests drawn from the seed, besides those told one by one.
   const auto drawn = static_cast<uint64_t>(world.integer("requests", 0, 10'000'000, 0));
   world.finish();
-  for (uint64_t i = 1; i <= drawn; ++i) s.requests.push_back(make_request(s, i));
+  const Character character = character_of(s);
+  for (uint64_t i = 1; i <= drawn; ++i) s.requests.push_back(make_request(s, character, i));
   uint64_t next = 1'000'000;
   for (config::Section& r : root.tables("request")) {
     RequestEvent e;
--- a/src/sim/streams.cpp
+++ b/src/sim/streams.cpp
@@ -114,10 +114,8 @@
 }
 
 void Streams::send(const std::shared_ptr<Connection>& c, int to, std::function<void()> fn) {
-  Connection::Side& there = c->sides[to];
-  const TimeUs way = terms_.base_us + static_cast<TimeUs>(c->random.exponential(terms_.jitter_us));
-  there.arrives = std::max(there.arrives + 1, world_.now() + way);
-  world_.at(there.arrives, [c, to, fn = std::move(fn)]() mutable {
+  const TimeUs arrives = terms_.arrival(world_.now(), 0, &c->random, &c->sides[to].arrives);
+  world_.at(arrives, [c, to, fn = std::move(fn)]() mutable {
     if (!c->sides[to].broken) c->sides[to].actor->deliver(std::move(fn));
   });
 }
@@ -132,16 +130,7 @@
   auto c = std::make_shared<Connection>(world_.stream(name + "/" + std::to_string(++made_[name])));
   c->address = address;
   c->sides[0].actor = client;
-  struct Dial {
-    Signal told;
-    bool over = false, stands = false;
-    void tell(bool ok) {
-      if (std::exchange(over, true)) return;
-      stands = ok;
-      told.give();
-    }
-  };
-  const auto dial = std::make_shared<Dial>();
+  const auto dial = std::make_shared<FirstWord>();
   const auto it = listeners_.find(address);
   const bool refused = it == listeners_.end();
   if (!refused) {
@@ -161,8 +150,8 @@
   world_.after(2 * terms_.base_us,
                [client, dial, refused] { client->deliver([dial, refused] { dial->tell(!refused); }); });
   client->call_after(within, [dial] { dial->tell(false); });
-  co_await dial->told.wait();
-  if (!dial->stands) co_return nullptr;
+  const bool stands = co_await dial->wait();
+  if (!stands) co_return nullptr;
   co_return std::make_shared<End>(*this, c, 0);
 }
 
--- a/src/sim/streams.h
+++ b/src/sim/streams.h
@@ -4,7 +4,6 @@
 
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -21,7 +20,6 @@
   Streams& operator=(const Streams&) = delete;
 
   void listen(const std::string& address, std::shared_ptr<Actor> actor, rpc::StreamHandler handler);
-  void stop(const std::string& address) { listeners_.erase(address); }
   // Nothing where no connection came about within the time.
   rpc::Awaitable<std::shared_ptr<rpc::ByteStream>> connect(std::shared_ptr<Actor> client, std::string address,
                                                            TimeUs within);
--- a/tests/stream_test.cpp
+++ b/tests/stream_test.cpp
@@ -211,6 +211,29 @@
 INSTANTIATE_TEST_SUITE_P(Both, StreamTest, testing::Values(Kind::kTcp, Kind::kSim),
                          [](const auto& kind) { return kind.param == Kind::kTcp ? "Tcp" : "Sim"; });
 
+// Both sides hear of it, whatever they wait for.
+TEST(Streams, AResetBreaksBothSides) {
+  sim::Account account;
+  sim::World world{7, account};
+  sim::Streams streams(world, {});
+  const auto server = sim::Actor::make(world, "server"), client = sim::Actor::make(world, "client");
+  bool server_broken = false, client_broken = false;
+  streams.listen("server", server, [&](StreamPtr s) -> Awaitable<void> {
+    const std::optional<std::string> piece = co_await s->read(100);
+    server_broken = !piece.has_value();
+  });
+  const auto work = [&]() -> Awaitable<void> {
+    const StreamPtr s = co_await streams.connect(client, "server", kSecond);
+    if (!s) co_return;
+    client->call_after(10 * kMs, [&] { streams.reset("server"); });
+    const std::optional<std::string> piece = co_await s->read(100);
+    client_broken = !piece.has_value();
+  };
+  test::run_in(world, work());
+  EXPECT_TRUE(client_broken);
+  EXPECT_TRUE(server_broken);
+}
+
 TEST(TcpNet, ABadAddressIsNamed) {
   rpc::GrpcLoop loop([] { return std::chrono::system_clock::now(); },
                      [] { return std::chrono::steady_clock::now(); });
