A simulated stream world runs out before it is taken apart

What still waited on a stream in a simulated world never heard of its end, so its coroutine's memory was kept. The test's world now steps until nothing is left.

--- a/tests/stream_test.cpp
+++ b/tests/stream_test.cpp
@@ -57,6 +57,9 @@
 
 class SimStreams : public StreamNet {
  public:
+  ~SimStreams() override {
+    while (world_.step()) continue;  // what still waits hears of its end
+  }
   std::string serve(rpc::StreamHandler handler) override {
     streams_.listen("server", server_, std::move(handler));
     return "server";
