Rule 4 counts whose word had come; cold budgets leave room for the measured spread

Where costs stray, a cold engine's budget also leaves room for the deviation of the work sent, as answers measure it, and a query sent there again counts its deviation together.

--- a/src/audit/rules.h
+++ b/src/audit/rules.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,8 @@
   int answers = 0;  // final answers seen; more than one can't be told from gRPC, but from other fronts
   End end = End::kNoAnswer;
   bool late_ok = false;  // a stream: it may end after its time
+  // What was wrong with what it read; empty: nothing, as far as it could tell.
+  std::string fault;
 };
 
 // How a try ended whose answer came from its gateway.
@@ -61,6 +64,8 @@
   std::vector<NodeFacts> nodes;
   Settings rules;  // its rule figures alone
   TimeUs slack_us = 50'000;
+  // Whether told_start() tells which gateways know of a node's start; else all know at once.
+  bool starts_are_told = false;
 };
 
 constexpr int kRules = 7;
@@ -94,6 +99,8 @@
   // A gateway was told that a node drains or is gone, or that it is ready, again or still.
   void told(TimeUs at, const std::string& gateway, const std::string& node);
   void told_ready(const std::string& gateway, const std::string& node) { told_.erase({gateway, node}); }
+  // A gateway was told of the node's present start.
+  void told_start(const std::string& gateway, const std::string& node);
   // A request is named gateway/start/number.
   void attempt_began(TimeUs at, const std::string& request, int attempt, const std::string& node,
                      const std::string& tag, double work_us);
@@ -139,9 +146,17 @@
   std::map<std::pair<std::string, std::string>, TimeUs> told_;  // by gateway and node
   struct Cold {
     TimeUs start = 0;
-    std::deque<std::pair<TimeUs, double>> window;  // arrivals of the last fall_us
-    double pushed = 0;
+    struct Push {
+      TimeUs at = 0;
+      double work_us = 0;
+      bool known = false;  // its gateway had been told of the start
+    };
+    std::deque<Push> window;       // of the last fall_us
+    double pushed = 0, known = 0;  // work in the window, and that of gateways that knew
+    std::set<std::string> told;    // gateways
     bool fallen = false;
+    // Those that weren't told can't be asked to hold back: as long as they sent over a third, nobody is.
+    bool to_blame() const { return 3 * known >= 2 * pushed; }
   };
   std::map<std::string, Cold> cold_;
   std::map<std::string, std::vector<std::pair<TimeUs, TimeUs>>> down_;   // gateways: killed, up again or 0
--- a/src/badday/day.cpp
+++ b/src/badday/day.cpp
@@ -19,6 +19,7 @@
 #include "base/signal.h"
 #include "flightsql/client.h"
 #include "flightsql/terms.h"
+#include "nodes/content.h"
 #include "nodes/record_file.h"
 #include "rpc/grpc_client.h"
 
@@ -298,14 +299,19 @@
                          [cancel = o.cancel] { cancel->cancel_all(); });
       }
       std::string sql = statement(t, p.work_us);
+      const std::string asked = sql;
       flightsql::Client& to = *gateways_[p.gateway].client;
       r.asked_at = loop_.now();
       r.due_at = r.asked_at + patience;
+      const auto check = std::make_shared<nodes::AnswerCheck>(sql);
+      flightsql::Client::OnBatch read = [check](const auto& schema, const auto& batch) {
+        check->on_batch(schema, batch);
+      };
       flightsql::QueryResult result;
       if (t.update)
         result = co_await to.update(std::move(sql), std::move(o));
       else
-        result = co_await to.query(std::move(sql), std::move(o));
+        result = co_await to.query(std::move(sql), std::move(o), std::move(read));
       r.ended_at = loop_.now();
       r.answers = result.from_gateway ? 1 : 0;
       if (!result.connected)
@@ -316,6 +322,11 @@
         r.end = ClientRecord::End::kNoAnswer;
       else
         r.end = audit::end_of(result.verdict);
+      const bool served = r.end == ClientRecord::End::kServed;
+      if (!t.update)
+        r.fault = check->fault(served);
+      else if (served)
+        r.fault = nodes::AnswerCheck::update_fault(asked, result.updated);
       {
         const std::lock_guard lock(mutex_);
         records_.clients.push_back(r);
--- a/src/nodes/stand_in.h
+++ b/src/nodes/stand_in.h
@@ -9,6 +9,7 @@
 
 #include "arrowipc/array.h"
 #include "base/clock.h"
+#include "nodes/content.h"
 #include "nodes/engine.h"
 #include "nodes/node_config.h"
 #include "nodes/recorder.h"
@@ -19,8 +20,9 @@
 // Everything happens on one strand.
 class StandIn {
  public:
-  // The clock must outlive the node; the recorder may be none.
-  StandIn(NodeConfig config, Clock& clock, Recorder* recorder);
+  // The clock must outlive the node; the recorder may be none. Nodes of one fleet share their tables; one that
+  // is given none has some of its own.
+  StandIn(NodeConfig config, Clock& clock, Recorder* recorder, std::shared_ptr<Tables> tables = nullptr);
   ~StandIn();
 
   rpc::Awaitable<void> handle(std::shared_ptr<rpc::ServerCall> call);
@@ -38,7 +40,8 @@
 
   rpc::Awaitable<void> execute(CallPtr call, std::string statement, bool update);
   rpc::Awaitable<bool> work(std::shared_ptr<Job> job);
-  rpc::Awaitable<bool> send_rows(CallPtr call, const StatementHint& hint, bool break_off);
+  Content content_of(const std::string& statement) const;
+  rpc::Awaitable<bool> send_rows(CallPtr call, Content content, bool break_off);
   rpc::Awaitable<void> finish(CallPtr call, rpc::Status status, std::optional<std::string> last,
                               const Job* job);
   bool struck_by(FaultKind kind) const;
@@ -52,6 +55,7 @@
   const NodeConfig config_;
   Clock& clock_;
   Recorder* recorder_;
+  const std::shared_ptr<Tables> tables_;
   const TimeUs started_;
   Engine engine_;
   std::vector<Fault> faults_;
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -501,7 +501,9 @@
     const double rate = std::max(kLearnRate, 1 / (c.answers + 2));
     if (q.req.cost_us && *q.req.cost_us > 0 && end.work_us)
       c.cost_ratio += rate * (std::min(told / *q.req.cost_us, kClipTimes) - c.cost_ratio);
-    c.work_us += rate * (std::min(told, kClipTimes * c.work_us) - c.work_us);
+    const double off = std::min(told, kClipTimes * c.work_us) - c.work_us;
+    c.work_variance += rate * ((1 - rate) * off * off - c.work_variance);
+    c.work_us += rate * off;
     if (end.used_mb && *end.used_mb > 0) {
       c.memory_mb += (c.answers == 0 ? 1 : rate) * (*end.used_mb - c.memory_mb);
       if (q.req.need_mb > 0) c.memory_ratio += rate * (*end.used_mb / q.req.need_mb - c.memory_ratio);
@@ -699,7 +701,7 @@
 
   void note_send(const Query& q, Engine& e) {
     if (cold(e)) {
-      e.cold_sent.emplace_back(now_, stats(q).work_us);
+      e.cold_sent.push_back({now_, q.req.id, stats(q).work_us, cold_variance(q, e)});
       e.cold_credit = 0;
       e.cold_draw = random_.draw();
     }
@@ -721,18 +723,26 @@
     return q.cls->repeat == Repeat::kDedup && q.cls->key_scope == KeyScope::kAll;
   }
 
-  // Rule 4: this gateway's equal part of what a cold engine bears within the window; queries weigh their
-  // class's usual work.
+  // Rule 4: this gateway's equal part of what a cold engine bears within the window. Queries weigh their
+  // class's usual work; what they really cost strays from it, all gateways' independently, so that each need
+  // leave only its root of the room for chance.
   bool cold_room(const Query& q, Engine& e) {
     if (!cold(e) || s_.fall_us <= 0) return true;
     const double window = s_.fall_us;
-    while (!e.cold_sent.empty() && (now_ - e.cold_sent.front().first) > kColdWindow * window)
+    while (!e.cold_sent.empty() && (now_ - e.cold_sent.front().at) > kColdWindow * window)
       e.cold_sent.pop_front();
-    double sent = stats(q).work_us, heaviest = 0;
+    double sent = stats(q).work_us, variance = cold_variance(q, e), heaviest = 0;
     for (const ClassStats& c : stats_) heaviest = std::max(heaviest, c.work_us);
     if (cold_budget(e) < heaviest) return e.cold_credit >= cold_price(q, e);
-    for (const auto& [at, weight] : e.cold_sent) sent += weight;
-    return sent <= cold_budget(e);
+    for (const auto& before : e.cold_sent) sent += before.work_us, variance += before.variance;
+    return sent + kColdSigmas * std::sqrt(variance / std::max(1, s_.instances)) <= cold_budget(e);
+  }
+
+  // What the query adds to the variance of the work sent. Sent there again, it strays just as it did before.
+  double cold_variance(const Query& q, const Engine& e) const {
+    const auto same = [&](const Engine::ColdSend& before) { return before.id == q.req.id; };
+    const auto earlier = q.attempts == 0 ? 0 : std::count_if(e.cold_sent.begin(), e.cold_sent.end(), same);
+    return (1.0 + 2.0 * earlier) * stats(q).work_variance;
   }
 
   double cold_budget(const Engine& e) const {
@@ -742,7 +752,8 @@
   // Where an equal part is under one query: in the mean all gateways together send what leaves room for
   // chance, kColdSigmas deviations of a sum of such queries. Credit grows from 0.
   double cold_price(const Query& q, const Engine& e) {
-    const double w = stats(q).work_us, half = kColdSigmas * std::sqrt(w) / 2;
+    const double w = stats(q).work_us, spread = w + stats(q).work_variance / std::max(w, 1.0);
+    const double half = kColdSigmas * std::sqrt(spread) / 2;
     const double all = cold_budget(e) * std::max(1, s_.instances);
     const double mean = std::pow(std::sqrt(half * half + all) - half, 2);
     return 2 * e.cold_draw * w * all / mean;
@@ -801,7 +812,7 @@
       e.life_at = e.averaged_at = now_;
       e.cold_draw = random_.draw();
       // A gateway that has just started may have spent its budget in its former life.
-      if (now_ - started_at_ <= s_.fall_us && cold(e)) e.cold_sent.emplace_back(now_, cold_budget(e));
+      if (now_ - started_at_ <= s_.fall_us && cold(e)) e.cold_sent.push_back({now_, 0, cold_budget(e), 0});
     }
     for (auto& [id, e] : engines_)
       if (form != ListForm::kDelta && !named.contains(id)) e.entry.state = EngineState::kGone;
--- a/src/sim/observer.h
+++ b/src/sim/observer.h
@@ -47,6 +47,7 @@
   void asks(const audit::ClientRecord& client, const std::string& statement);  // about to
   void told_leaves(const std::string& gateway, const std::string& node);
   void told_ready(const std::string& gateway, const std::string& node);
+  void told_start(const std::string& gateway, const std::string& node) { rules_.told_start(gateway, node); }
   void gateway_down(const std::string& gateway);
   void gateway_up(const std::string& gateway);
   void gateway_stalls(const std::string& gateway, TimeUs until);
--- a/src/state.h
+++ b/src/state.h
@@ -55,7 +55,12 @@
   int trial_oks = 0;
   double cold_credit = 0;  // work that this gateway may send there by chance, grown since the last send
   double cold_draw = 0;    // 0 to 1, drawn anew for each send: gateways take their turns at random
-  std::deque<std::pair<TimeUs, double>> cold_sent;  // work sent while cold, by time
+  struct ColdSend {
+    TimeUs at = 0;
+    RequestId id = 0;
+    double work_us = 0, variance = 0;  // usual for its class, and what it adds to the variance of all
+  };
+  std::deque<ColdSend> cold_sent;  // sent while cold, by time
 
   double own_threads() const {
     double threads = 0;
@@ -65,7 +70,8 @@
 };
 
 struct ClassStats {
-  double work_us = 0;  // mean work of a query
+  double work_us = 0;        // mean work of a query
+  double work_variance = 0;  // of a query's work about that mean, us squared
   double answers = 0;
   double cost_ratio = 1;    // told cost over estimate
   double memory_ratio = 1;  // used memory over estimate
