--- a/src/carrier/carrier.cpp
+++ b/src/carrier/carrier.cpp
@@ -162,8 +162,10 @@
 }
 
 void Carrier::give(RequestId id, Request& request, std::string message) {
-  held_all_ += message.size();
-  unsent_[id] += message.size();
+  if (!request.sink->consumes_at_once()) {
+    held_all_ += message.size();
+    unsent_[id] += message.size();
+  }
   request.sink->write(std::move(message));
 }
 
--- a/src/carrier/carrier.h
+++ b/src/carrier/carrier.h
@@ -83,6 +83,10 @@
   size_t probes_out() const { return probes_.size(); }
   const CarrierCounts& counts() const { return counts_; }
 
+ protected:
+  // The client will read no more of it. Virtual for tests that plant a defect.
+  virtual void forget_unsent(RequestId id);
+
  private:
   struct Attempt {
     int number = 0;
@@ -147,7 +151,6 @@
   void start_stream(AttemptKey key, Request& request, Attempt& attempt);
   void release(Attempt& attempt);
   void give(RequestId id, Request& request, std::string message);
-  void forget_unsent(RequestId id);
   void forget_if_over(RequestId id);
   void check_idle();
   void watch(WatchItem item);
--- a/src/carrier/ports.h
+++ b/src/carrier/ports.h
@@ -18,10 +18,16 @@
   bool operator==(const AttemptKey&) const = default;
 };
 
+enum class Task {
+  kQuery,   // answered with rows
+  kUpdate,  // changes data: run with DoPut, answered with a count
+  kPlan,    // not run: answered with its columns and those of its parameters, as one message
+};
+
 // What a client asked to be run. Shared by all attempts.
 struct Statement {
   std::string text;
-  bool update = false;     // changes data: run with DoPut, answered with a count
+  Task task = Task::kQuery;
   std::string client_tag;  // the client's own name for its request, passed on to nodes; may be empty
 };
 
@@ -94,6 +100,8 @@
   virtual ~ReplySink() = default;
   virtual void write(std::string message) = 0;
   virtual void finish(const FinalAnswer& answer) = 0;
+  // True where what is written has reached its end by that: nothing of it is held for a slow client.
+  virtual bool consumes_at_once() const { return false; }
 };
 
 // Where the list of nodes comes from; answers reach Carrier::set_list.
--- a/src/cli/badday.cpp
+++ b/src/cli/badday.cpp
@@ -37,6 +37,11 @@
     std::fprintf(stderr, "sablelink: the day itself went wrong: %s\n", result.trouble.c_str());
     return kUsage;
   }
+  if (const int rule = result.report.untouched_rule(); rule != 0) {
+    std::fprintf(stderr, "sablelink: rule %d was never at stake on this day, so it proves nothing of it\n",
+                 rule);
+    return kUsage;
+  }
   if (temporary && result.report.clean()) std::filesystem::remove_all(folder);
   return result.report.clean() ? kServed : kFailed;
 }
--- a/src/cli/simulate.cpp
+++ b/src/cli/simulate.cpp
@@ -10,6 +10,7 @@
 #include <mutex>
 #include <thread>
 
+#include "audit/auditor.h"
 #include "cli/commands.h"
 #include "config/section.h"
 #include "sim/run.h"
@@ -166,9 +167,11 @@
       sum.simulated_us += r.simulated_us;
       sum.attempts += r.attempts;
       sum.further_attempts += r.further_attempts;
+      sum.plans += r.plans;
       sum.ends += r.ends;
-      for (int rule = 1; rule <= audit::kRules; ++rule) sum.checked[rule] += r.checked[rule];
+      sum.counts += r.counts;
       digest += r.digest * (2 * i + 1);  // whatever the order
+      sum.findings.insert(sum.findings.end(), r.findings.begin(), r.findings.end());
       if (!r.findings.empty()) broken.emplace(i, std::move(r));
     }
   };
@@ -186,10 +189,9 @@
   }
   if (options.coverage) print_coverage(pairs);
   std::printf("\n%" PRIu64 " worlds, digest %016" PRIx64 ": %s; attempts %" PRIu64 ", further ones %" PRIu64
-              "\n",
-              count, digest, ends_text(sum.ends).c_str(), sum.attempts, sum.further_attempts);
-  for (int rule = 1; rule <= audit::kRules; ++rule)
-    std::printf("rule %d checked %" PRIu64 " times\n", rule, sum.checked[rule]);
+              "; planning calls %" PRIu64 "\n",
+              count, digest, ends_text(sum.ends).c_str(), sum.attempts, sum.further_attempts, sum.plans);
+  std::fputs(audit::render_rules(sum.findings, sum.counts).c_str(), stdout);
   std::printf("%.1f s simulated in %.2f s on %d threads (%.0f times), %" PRIu64 " steps\n",
               sum.simulated_us / 1e6, took, options.jobs, sum.simulated_us / 1e6 / took, sum.steps);
   if (broken.empty())
--- a/src/config/gateway_config.cpp
+++ b/src/config/gateway_config.cpp
@@ -186,6 +186,36 @@
   }
 }
 
+void read_schemas(Section s, schemas::StoreLimits& out) {
+  out.entries = s.integer("entries", 0, 10'000'000, out.entries);
+  out.bytes = s.bytes("bytes", out.bytes);
+  out.age_us = s.time("age", out.age_us);
+  s.finish();
+}
+
+void read_planning(Section s, GatewayConfig& c) {
+  schemas::PlanningLimits& p = c.planning;
+  p.on = s.has("class");
+  if (p.on) {
+    c.planning_class = named(s, "class", c.class_names);
+    const ClassSettings& k = c.settings.classes[c.planning_class];
+    if (k.repeat != Repeat::kRetryable)
+      s.fail("class", "must be one whose repeat is \"safe\": a plan changes nothing");
+    if (k.in_order) s.fail("class", "must not be in_order: plans have no keys");
+  }
+  p.at_once = s.integer("at_once", 1, 100'000, p.at_once);
+  p.window_us = s.time("window", p.window_us);
+  if (p.window_us <= 0) s.fail("window", "must be over 0");
+  p.free = s.number("free", 0, kMost, p.free);
+  p.per_statement = s.number("per_statement", 0, 1, p.per_statement);
+  p.waiting = s.integer("waiting", 1, 1'000'000, p.waiting);
+  p.time_us = s.time("time", p.time_us);
+  p.wait_us = s.time("wait", p.wait_us);
+  if (p.time_us <= 0) s.fail("time", "must be over 0");
+  if (p.wait_us > p.time_us) s.fail("wait", "must not be over the call's own time");
+  s.finish();
+}
+
 void read_nodes(Section& root, GatewayConfig& c) {
   std::vector<std::string> names;
   std::set<std::string> addresses;
@@ -237,6 +267,8 @@
   }
   read_tables(root, c.selectors);
   read_selectors(root, c);
+  read_schemas(root.table("schemas"), c.schemas);
+  read_planning(root.table("planning"), c);
   read_nodes(root, c);
   root.finish();
   return c;
--- a/src/config/gateway_config.h
+++ b/src/config/gateway_config.h
@@ -10,6 +10,8 @@
 #include "config/section.h"
 #include "config/selectors.h"
 #include "gateway.h"
+#include "schemas/planning.h"
+#include "schemas/store.h"
 
 namespace sablelink::config {
 
@@ -44,6 +46,9 @@
   std::vector<std::string> class_names, zone_names, kind_names;
   carrier::CarrierLimits carrier;
   FrontLimits front;
+  schemas::StoreLimits schemas;
+  schemas::PlanningLimits planning;
+  int planning_class = 0;  // of planning calls, where those are on
   SelectorSettings selectors;
   std::vector<NodeConfig> nodes;
   std::string log_level = "info";
--- a/src/config/selectors.h
+++ b/src/config/selectors.h
@@ -35,6 +35,7 @@
 struct Table {
   std::string catalog, schema, name;
   int64_t group = 0;
+  bool operator==(const Table&) const = default;
 };
 
 struct SelectorSettings {
--- a/src/flightsql/client.cpp
+++ b/src/flightsql/client.cpp
@@ -1,5 +1,8 @@
 #include "flightsql/client.h"
 
+#include <algorithm>
+
+#include "base/signal.h"
 #include "flightsql/messages.h"
 #include "flightsql/terms.h"
 
@@ -9,6 +12,8 @@
 using rpc::Awaitable;
 using rpc::Code;
 
+constexpr TimeUs kStopsUs = 60'000'000;  // a reader that stops looks for an end after its patience, or this
+
 rpc::Status no_connection() { return {Code::kUnavailable, "no connection to the gateway", ""}; }
 
 rpc::Status time_up() { return {Code::kDeadlineExceeded, "the client's time is up", ""}; }
@@ -25,6 +30,7 @@
     out.verdict = carrier::Verdict::kFailed;
   out.reason = rpc::find_value(end.trailers, kReasonKey);
   out.attempts = find_number(end.trailers, kAttemptsKey, 0);
+  out.schema_changed = rpc::find_value(end.trailers, kSchemaKey) == "changed";
   out.retry_after_us = read_details(end.status).retry_after_us;
 }
 
@@ -96,7 +102,12 @@
   co_await made->write(std::move(ticket), true);
   std::string problem;
   bool has_schema = false;
-  while (std::optional<std::string> message = co_await made->read()) {
+  for (int number = 0;; ++number) {
+    if (options.read_every_us > 0) co_await pause(clock_, options.read_every_us);
+    if (options.stops_after == number)
+      co_await pause(clock_, options.timeout_us > 0 ? options.timeout_us : kStopsUs);
+    std::optional<std::string> message = co_await made->read();
+    if (!message) break;
     flight::FlightData data;
     if (!problem.empty()) continue;
     try {
@@ -104,7 +115,7 @@
       if (data.data_header().empty()) continue;
       if (!has_schema) {
         out.schema = arrowipc::decode_schema(data.data_header());
-        has_schema = true;
+        out.has_schema = has_schema = true;
         continue;
       }
       arrowipc::Batch batch = arrowipc::decode_batch(out.schema, data.data_header(), data.data_body());
@@ -142,6 +153,15 @@
     co_return out;
   }
   QueryResult result = co_await fetch(std::move(ticket.ticket), std::move(options), std::move(on_batch));
+  flight::FlightInfo info;
+  if (info.ParseFromString(ticket.info) && !info.schema().empty()) {
+    try {
+      result.promised = arrowipc::decode_encapsulated_schema(info.schema());
+    } catch (const arrowipc::FormatError& e) {
+      result.verdict = carrier::Verdict::kFailed;
+      result.status = make_error(Code::kInternal, std::string("the FlightInfo's schema: ") + e.what());
+    }
+  }
   co_return result;
 }
 
--- a/src/flightsql/client.h
+++ b/src/flightsql/client.h
@@ -32,6 +32,10 @@
   rpc::Metadata headers;
   TimeUs dial_timeout_us = 2'000'000;
   std::shared_ptr<Canceller> cancel;  // may be none
+  // For tests, a reader that takes its time: a pause before each message, and the number of messages after
+  // which it reads no further, whatever its patience.
+  TimeUs read_every_us = 0;
+  std::optional<int> stops_after;
 };
 
 struct QueryResult {
@@ -43,7 +47,11 @@
   std::string reason;
   int attempts = 0;
   std::optional<TimeUs> retry_after_us;
+  // As the FlightInfo told it; none where that had none. The answer's own is the one that counts.
+  std::optional<arrowipc::Schema> promised;
+  bool schema_changed = false;  // the gateway says that the answer's is another than it promised
   arrowipc::Schema schema;
+  bool has_schema = false;
   std::vector<arrowipc::Batch> batches;
   int64_t rows = 0;
   int64_t updated = 0;  // of updates
--- /dev/null
+++ b/src/flightsql/columns.cpp
@@ -0,0 +1,160 @@
+#include "flightsql/columns.h"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "flightsql/messages.h"
+#include "flightsql/terms.h"
+#include "sablelink.pb.h"
+#include "sql/shape.h"
+
+namespace sablelink::flightsql {
+
+// A planning call's answer on its way from the carrier. Called from within the carrier's events, so what
+// waits only hears that there is news.
+class Columns::Sink : public carrier::ReplySink {
+ public:
+  Sink(Columns& columns, std::string key, schemas::Subject subject, std::string parameters_key)
+      : columns_(columns),
+        key_(std::move(key)),
+        subject_(std::move(subject)),
+        parameters_key_(std::move(parameters_key)),
+        asked_(columns.store_.moment()) {}
+
+  void write(std::string message) override { message_ = std::move(message); }
+  bool consumes_at_once() const override { return true; }
+  void finish(const carrier::FinalAnswer& answer) override {
+    wire::Plan plan;
+    carrier::NodeError fault;
+    const TimeUs now = columns_.clock_.now();
+    if (answer.verdict == carrier::Verdict::kServed && plan.ParseFromString(message_)) {
+      if (!plan.dataset().empty()) columns_.store_.learn(now, subject_, plan.dataset(), asked_);
+      if (plan.has_parameters() && !parameters_key_.empty())
+        columns_.store_.learn(now, {parameters_key_, subject_.tables}, plan.parameters(), asked_);
+    } else {
+      columns_.log_.info("plan_failed", {{"verdict", carrier::verdict_name(answer.verdict)},
+                                         {"reason", carrier::reason_name(answer.reason)},
+                                         {"error", answer.error.message}});
+      if (answer.reason == carrier::Reason::kStatement) fault = answer.error;
+    }
+    columns_.ended(key_, fault);
+  }
+
+ private:
+  Columns& columns_;
+  const std::string key_;
+  const schemas::Subject subject_;
+  const std::string parameters_key_;
+  const schemas::Store::Moment asked_;
+  std::string message_;
+};
+
+Columns::Columns(const schemas::StoreLimits& store, const schemas::PlanningLimits& planning,
+                 int planning_class, uint64_t life, carrier::Carrier& carrier, Clock& clock, Log& log)
+    : limits_(planning),
+      class_(planning_class),
+      life_(life),
+      carrier_(carrier),
+      clock_(clock),
+      log_(log),
+      store_(store),
+      planning_(planning) {}
+
+Columns::~Columns() = default;
+
+schemas::Subject Columns::subject(const std::string& text, const sql::StatementInfo& info, int cls) const {
+  return {"d" + std::to_string(cls) + " " + sql::shape_of(text), info.tables};
+}
+
+uint64_t Columns::hash(const std::string& schema) {
+  return schema.empty() ? 0 : std::max<uint64_t>(XXH3_64bits(schema.data(), schema.size()), 1);
+}
+
+void Columns::ask(const std::string& key, const std::string& text, const schemas::Subject& subject,
+                  const std::string& parameters_key) {
+  QueryRequest query;
+  query.cls = class_;
+  query.due_us = clock_.now() + limits_.time_us;
+  auto statement = std::make_shared<carrier::Statement>();
+  statement->text = text;
+  statement->task = carrier::Task::kPlan;
+  statement->client_tag = std::string(kPlanTag) + std::to_string(life_) + "/" + std::to_string(++last_call_);
+  log_.write(LogLevel::kInfo, kPlanEvent, {{"tag", statement->client_tag}});
+  carrier_.take(query, std::move(statement), std::make_shared<Sink>(*this, key, subject, parameters_key));
+}
+
+void Columns::ended(const std::string& key, const carrier::NodeError& error) {
+  for (const schemas::Planning::Waiter waiter : planning_.ended(key)) {
+    const auto it = waiting_.find(waiter);
+    if (it == waiting_.end()) continue;
+    it->second->error = error;
+    it->second->over.give();
+  }
+}
+
+rpc::Awaitable<Columns::Told> Columns::tell(std::shared_ptr<rpc::ServerCall> call, std::string text,
+                                            sql::StatementInfo info, int cls, bool with_parameters) {
+  Told told;
+  if (info.kind != sql::StatementKind::kQuery) co_return told;
+  const schemas::Subject about = subject(text, info, cls);
+  const bool both = with_parameters && sql::count_parameters(text) > 0;
+  const std::string parameters_key =
+      both ? "p" + std::to_string(cls) + " " + sql::exact_shape_of(text) : std::string();
+  const auto look = [&] {
+    told.dataset = store_.find(clock_.now(), about.key).value_or("");
+    if (both) told.parameters = store_.find(clock_.now(), parameters_key).value_or("");
+    return !told.dataset.empty() && (!both || !told.parameters.empty());
+  };
+  planning_.asked(clock_.now());
+  if (look()) co_return told;
+  const std::string& key = both ? parameters_key : about.key;
+  const uint64_t waiter = ++last_waiter_;
+  const schemas::Planning::Word word = planning_.want(clock_.now(), key, waiter);
+  if (word == schemas::Planning::Word::kGoWithout) co_return told;
+  const auto waiting = std::make_shared<Waiting>();
+  waiting_[waiter] = waiting;
+  const TimeUs most = call->allowed() ? std::min(limits_.wait_us, *call->allowed() / 2) : limits_.wait_us;
+  const std::weak_ptr<Waiting> weak = waiting;
+  const auto give_up = [weak] {
+    if (const auto w = weak.lock()) w->over.give();
+  };
+  clock_.call_after(most, give_up);
+  call->on_cancelled(give_up);
+  if (word == schemas::Planning::Word::kAsk) ask(key, text, about, parameters_key);
+  co_await waiting->over.wait();
+  waiting_.erase(waiter);
+  planning_.left(key, waiter);
+  look();
+  told.error = waiting->error;
+  co_return told;
+}
+
+Columns::Seen Columns::answered(const schemas::Subject& subject, const std::string& message,
+                                uint64_t promised, schemas::Store::Moment asked) {
+  flight::FlightData data;
+  if (!data.ParseFromString(message) || data.data_header().empty()) return Seen::kNoSchema;
+  std::string schema = arrowipc::encapsulate({data.data_header(), ""});
+  Seen seen = Seen::kAsPromised;
+  if (promised != 0 && promised != hash(schema)) {
+    // Engines may write one schema in two ways; only where both can be read it is sure that they differ.
+    seen = Seen::kOther;
+    if (const auto known = store_.find(clock_.now(), subject.key); known && hash(*known) == promised) {
+      try {
+        if (arrowipc::decode_encapsulated_schema(*known) == arrowipc::decode_encapsulated_schema(schema))
+          return Seen::kAsPromised;
+      } catch (const arrowipc::FormatError&) {
+        return Seen::kAsPromised;  // of a type that isn't read here: the client's own reader will tell
+      }
+    }
+    ++changed_;
+    log_.warn("schema_changed", {{"statement", subject.key.substr(0, 200)}});
+  }
+  if (!store_.learn(clock_.now(), subject, std::move(schema), asked) && seen == Seen::kOther)
+    store_.forget(subject.key);
+  return seen;
+}
+
+}  // namespace sablelink::flightsql
--- /dev/null
+++ b/src/flightsql/columns.h
@@ -0,0 +1,85 @@
+// The columns of statements, as clients are told them before anything has run: from the store where answers
+// or plans have shown them, else by a planning call, else not at all. One instance serves one gateway's
+// front, on the carrier's strand; what is rationed is decided by schemas::Planning, where a call goes by the
+// decision module.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/signal.h"
+#include "carrier/carrier.h"
+#include "rpc/rpc.h"
+#include "schemas/planning.h"
+#include "schemas/store.h"
+#include "sql/statement.h"
+
+namespace sablelink::flightsql {
+
+class Columns {
+ public:
+  // life names this gateway's start in the tags of planning calls. The references must outlive it.
+  Columns(const schemas::StoreLimits& store, const schemas::PlanningLimits& planning, int planning_class,
+          uint64_t life, carrier::Carrier& carrier, Clock& clock, Log& log);
+  ~Columns();
+  Columns(const Columns&) = delete;
+  Columns& operator=(const Columns&) = delete;
+
+  // Schemas are encapsulated Arrow IPC messages; empty: not known.
+  struct Told {
+    std::string dataset, parameters;
+    carrier::NodeError error;  // of an engine that says that the statement is at fault; code 0: none does
+  };
+  // For how the statement's class reaches engines, the key of its columns holds that class: another may be
+  // bound to other engines, which may hold other tables.
+  schemas::Subject subject(const std::string& text, const sql::StatementInfo& info, int cls) const;
+
+  // with_parameters: those columns are wanted too, where the statement has parameters. The wait ends with the
+  // client's call, too.
+  rpc::Awaitable<Told> tell(std::shared_ptr<rpc::ServerCall> call, std::string text, sql::StatementInfo info,
+                            int cls, bool with_parameters);
+
+  // What an answer's first message shows, to be compared with what was promised.
+  enum class Seen { kNoSchema, kAsPromised, kOther };
+  Seen answered(const schemas::Subject& subject, const std::string& message, uint64_t promised,
+                schemas::Store::Moment asked);
+  void defined(const std::vector<std::string>& tables) { store_.defined(tables); }
+  void forget_all() { store_.clear(); }
+  schemas::Store::Moment moment() const { return store_.moment(); }
+  // A hash of a schema, for tickets; never 0 but for none.
+  static uint64_t hash(const std::string& schema);
+
+  const schemas::Store& store() const { return store_; }
+  const schemas::Planning& planning() const { return planning_; }
+  uint64_t changed() const { return changed_; }  // answers with another schema than was promised
+
+ private:
+  struct Call;
+  class Sink;
+  struct Waiting {
+    Signal over;
+    carrier::NodeError error;
+  };
+
+  void ask(const std::string& key, const std::string& text, const schemas::Subject& subject,
+           const std::string& parameters_key);
+  void ended(const std::string& key, const carrier::NodeError& error);
+
+  const schemas::PlanningLimits limits_;
+  const int class_;
+  const uint64_t life_;
+  carrier::Carrier& carrier_;
+  Clock& clock_;
+  Log& log_;
+  schemas::Store store_;
+  schemas::Planning planning_;
+  std::map<uint64_t, std::shared_ptr<Waiting>> waiting_;
+  uint64_t last_waiter_ = 0, last_call_ = 0, changed_ = 0;
+};
+
+}  // namespace sablelink::flightsql
--- a/src/flightsql/front.cpp
+++ b/src/flightsql/front.cpp
@@ -105,6 +105,10 @@
   }
 
   RequestId id = 0;
+  schemas::Subject subject;  // whose columns the first message shows; none: they aren't learned from it
+  uint64_t promised = 0;
+  schemas::Store::Moment asked = 0;
+  bool other_schema = false;
   std::deque<std::string> queue;
   std::optional<carrier::FinalAnswer> answer;
   bool gone = false, cancelled = false;
@@ -121,15 +125,23 @@
       log_(log),
       tickets_(seeds.life, seeds.secret),
       prepared_({config.front.prepared, config.front.prepared_bytes, config.front.prepared_idle_us},
-                seeds.handles) {}
+                seeds.handles),
+      columns_(config.schemas, config.planning, config.planning_class, seeds.life, carrier, clock, log) {}
 
 Front::~Front() = default;
 
+void Front::set_selectors(config::SelectorSettings selectors) {
+  // Other tables, or other classes for the same statements: what was learned may be of no use.
+  if (selectors.tables != selectors_.tables) columns_.forget_all();
+  selectors_ = std::move(selectors);
+}
+
 Awaitable<void> Front::handle(CallPtr call) {
   using Handler = Awaitable<void> (Front::*)(CallPtr);
-  static constexpr std::array<std::pair<std::string_view, Handler>, 5> kMethods = {{
+  static constexpr std::array<std::pair<std::string_view, Handler>, 6> kMethods = {{
       {"DoGet", &Front::do_get},
       {"GetFlightInfo", &Front::get_flight_info},
+      {"GetSchema", &Front::get_schema},
       {"DoPut", &Front::do_put},
       {"DoAction", &Front::do_action},
       {"Handshake", &Front::handshake},
@@ -234,12 +246,47 @@
 
 }  // namespace
 
-Awaitable<void> Front::get_flight_info(CallPtr call) {
-  std::optional<std::string> message = co_await call->read();
+namespace {
+
+flight::FlightDescriptor read_descriptor(const std::optional<std::string>& message) {
   if (!message) wrong("a FlightDescriptor was expected");
-  const auto descriptor = parse<flight::FlightDescriptor>(*message, "the request");
+  auto descriptor = parse<flight::FlightDescriptor>(*message, "the request");
   if (descriptor.type() != flight::FlightDescriptor::CMD)
     wrong("the FlightDescriptor holds no command: its type must be CMD");
+  return descriptor;
+}
+
+// An engine says that the statement is at fault: what asks for a plan alone is told so.
+[[noreturn]] void plan_failed(const carrier::NodeError& error) {
+  throw CallError(static_cast<Code>(error.code), error.message);
+}
+
+}  // namespace
+
+Awaitable<void> Front::get_schema(CallPtr call) {
+  const std::optional<std::string> message = co_await call->read();
+  const flight::FlightDescriptor descriptor = read_descriptor(message);
+  const auto any = parse_any(descriptor.cmd(), "the descriptor's command");
+  flight::SchemaResult result;
+  if (const auto table = metadata_table(any, selectors_.tables)) {
+    result.set_schema(arrowipc::encapsulate(arrowipc::encode_schema(table->schema)));
+  } else {
+    Placed placed = place(*call, statement_of(any));
+    const int cls = placed.chosen.cls;
+    const Columns::Told told =
+        co_await columns_.tell(call, std::move(placed.text), std::move(placed.info), cls, false);
+    if (told.error.code != 0) plan_failed(told.error);
+    if (told.dataset.empty())
+      throw CallError(Code::kUnavailable, "the columns aren't known and can't be asked for now");
+    result.set_schema(told.dataset);
+  }
+  std::string bytes = result.SerializeAsString();
+  co_await reply(call, std::move(bytes));
+}
+
+Awaitable<void> Front::get_flight_info(CallPtr call) {
+  const std::optional<std::string> message = co_await call->read();
+  const flight::FlightDescriptor descriptor = read_descriptor(message);
   const auto any = parse_any(descriptor.cmd(), "the descriptor's command");
   flight::FlightInfo info;
   *info.mutable_flight_descriptor() = descriptor;
@@ -251,7 +298,13 @@
     ticket.set_ticket(descriptor.cmd());
   } else {
     fsql::TicketStatementQuery handle;
-    handle.set_statement_handle(tickets_.issue(statement_of(any)));
+    const std::string text = statement_of(any);
+    Placed placed = place(*call, text);
+    // Where an engine finds fault with the statement, running it will tell: perhaps another doesn't.
+    const Columns::Told told = co_await columns_.tell(call, std::move(placed.text), std::move(placed.info),
+                                                      placed.chosen.cls, false);
+    info.set_schema(told.dataset);
+    handle.set_statement_handle(tickets_.issue(text, Columns::hash(told.dataset)));
     ticket.set_ticket(pack(handle));
   }
   std::string bytes = info.SerializeAsString();
@@ -277,7 +330,8 @@
     throw CallError(opened.fault == TicketFault::kForeign ? Code::kNotFound : Code::kInvalidArgument,
                     ticket_fault_text(opened.fault));
   const bool repeat = !tickets_.first_use(opened.serial);
-  Ran ran = co_await run(call, std::move(opened.statement), false, opened.serial, repeat);
+  std::string text = std::move(opened.statement);
+  Ran ran = co_await run(call, std::move(text), false, opened, repeat);
   co_await finish(call, std::move(ran));
 }
 
@@ -290,21 +344,28 @@
     co_return;
   }
   ClientEnd end = map_final_answer(ran.answer);
+  if (ran.other_schema) end.trailers.emplace_back(kSchemaKey, "changed");
   std::optional<std::string> last;
   if (!ran.message.empty()) last = std::move(ran.message);
   co_await call->finish(std::move(end.status), std::move(end.trailers), std::move(last));
 }
 
-QueryRequest Front::request_of(const rpc::ServerCall& call, const std::string& text, bool update,
-                               bool repeat) const {
-  const sql::StatementInfo info = sql::inspect(text);
+Front::Placed Front::place(const rpc::ServerCall& call, std::string text) const {
+  Placed placed;
+  placed.info = sql::inspect(text);
+  placed.text = std::move(text);
   const std::string user = user_of(call.metadata());
   config::RequestFacts facts;
   facts.user = user;
   facts.headers = &call.metadata();
-  facts.statement = &info;
-  const config::Selection chosen = config::select(selectors_, facts);
+  facts.statement = &placed.info;
+  placed.chosen = config::select(selectors_, facts);
+  return placed;
+}
 
+QueryRequest Front::request_of(const rpc::ServerCall& call, const Placed& placed, bool update,
+                               bool repeat) const {
+  const config::Selection& chosen = placed.chosen;
   QueryRequest query;
   query.cls = chosen.cls;
   query.tenant = chosen.tenant;
@@ -313,13 +374,15 @@
   query.cost_us = chosen.cost_us;
   query.need_mb = chosen.need_mb;
   query.client_repeat = repeat;
-  query.write = update || info.writes;
+  query.write = update || placed.info.writes;
   query.due_us = clock_.now() + (call.allowed() ? due_after(*call.allowed(), limits_.answer_margin_us)
                                                 : classes_[chosen.cls].deadline_us);
   return query;
 }
 
-Awaitable<Front::Ran> Front::run(CallPtr call, std::string text, bool update, uint64_t serial, bool repeat) {
+Awaitable<Front::Ran> Front::run(CallPtr call, std::string text, bool update, const OpenedTicket& ticket,
+                                 bool repeat) {
+  const uint64_t serial = ticket.serial;
   Ran ran;
   size_t& open = open_by_peer_[call->peer()];
   if (open >= limits_.open_per_connection) {
@@ -328,13 +391,21 @@
     co_return ran;
   }
   ++open;
-  const QueryRequest query = request_of(*call, text, update, repeat);
+  const Placed placed = place(*call, std::move(text));
+  const QueryRequest query = request_of(*call, placed, update, repeat);
+  const bool defines = placed.info.kind == sql::StatementKind::kDefinition;
+  if (defines) columns_.defined(placed.info.tables);
   auto statement = std::make_shared<carrier::Statement>();
-  statement->text = std::move(text);
-  statement->update = update;
+  statement->text = placed.text;
+  statement->task = update ? carrier::Task::kUpdate : carrier::Task::kQuery;
   statement->client_tag = rpc::find_value(call->metadata(), kClientTagKey);
 
   const auto reply = std::make_shared<Reply>();
+  if (!update && placed.info.kind == sql::StatementKind::kQuery) {
+    reply->subject = columns_.subject(placed.text, placed.info, placed.chosen.cls);
+    reply->promised = ticket.promised;
+    reply->asked = columns_.moment();
+  }
   reply->id = carrier_.take(query, std::move(statement), reply);
   std::multimap<uint64_t, std::weak_ptr<Reply>>::iterator listed = running_.end();
   if (serial != 0) listed = running_.emplace(serial, reply);
@@ -347,6 +418,8 @@
   if (listed != running_.end()) running_.erase(listed);
   const auto peer = open_by_peer_.find(call->peer());
   if (--peer->second == 0) open_by_peer_.erase(peer);
+  if (defines) columns_.defined(placed.info.tables);  // what was asked meanwhile may be older or newer
+  ran.other_schema = reply->other_schema;
   ran.gone = reply->gone;
   ran.cancelled = reply->cancelled;
   if (reply->answer) ran.answer = *reply->answer;
@@ -359,6 +432,12 @@
       std::string message = std::move(reply->queue.front());
       reply->queue.pop_front();
       const size_t size = message.size();
+      if (!reply->subject.key.empty()) {
+        // The first message alone shows the schema; what comes after it is none of the store's business.
+        const schemas::Subject subject = std::exchange(reply->subject, {});
+        reply->other_schema =
+            columns_.answered(subject, message, reply->promised, reply->asked) == Columns::Seen::kOther;
+      }
       if (update ||
           (reply->answer && reply->queue.empty() && reply->answer->verdict == carrier::Verdict::kServed)) {
         *kept = std::move(message);  // goes out together with the end, or is the caller's
@@ -388,7 +467,9 @@
   if (any.Is<fsql::CommandStatementUpdate>()) {
     auto command = unpack<fsql::CommandStatementUpdate>(any);
     no_transaction(command);
-    Ran ran = co_await run(call, checked_statement(std::move(*command.mutable_query())), true, 0, false);
+    std::string text = checked_statement(std::move(*command.mutable_query()));
+    const OpenedTicket none;
+    Ran ran = co_await run(call, std::move(text), true, none, false);
     co_await finish(call, std::move(ran));
   } else if (any.Is<fsql::CommandPreparedStatementQuery>()) {
     const auto command = unpack<fsql::CommandPreparedStatementQuery>(any);
@@ -454,6 +535,7 @@
   if (rows.empty()) rows.push_back(found.literals);
   // Each row is a request of its own; they run in turn, and the first that isn't served ends the call.
   int64_t records = 0;
+  const OpenedTicket none;
   Ran ran;
   for (size_t i = 0; i < rows.size(); ++i) {
     std::string text;
@@ -462,7 +544,7 @@
     } catch (const std::invalid_argument& e) {
       wrong(e.what());
     }
-    ran = co_await run(call, std::move(text), true, 0, false);
+    ran = co_await run(call, std::move(text), true, none, false);
     if (ran.gone || ran.cancelled || ran.answer.verdict != carrier::Verdict::kServed) {
       // Whatever the reason, earlier rows have run: a promise that trying again is harmless would be wrong.
       if (i > 0 && !ran.gone && !ran.cancelled) {
@@ -495,16 +577,9 @@
   const auto action = parse<flight::Action>(*message, "the request");
   flight::Result result;
   if (action.type() == "CreatePreparedStatement") {
-    auto request =
-        unpack<fsql::ActionCreatePreparedStatementRequest>(parse_any(action.body(), "the action's body"));
-    no_transaction(request);
-    const auto handle =
-        prepared_.create(clock_.now(), checked_statement(std::move(*request.mutable_query())));
-    if (!handle)
-      throw CallError(Code::kResourceExhausted, "no room for further prepared statements; close some");
-    fsql::ActionCreatePreparedStatementResult created;
-    created.set_prepared_statement_handle(*handle);
-    result.set_body(pack(created));
+    std::string body = action.body();
+    std::string created = co_await create_prepared(call, std::move(body));
+    result.set_body(std::move(created));
   } else if (action.type() == "ClosePreparedStatement") {
     const auto request =
         unpack<fsql::ActionClosePreparedStatementRequest>(parse_any(action.body(), "the action's body"));
@@ -537,6 +612,24 @@
   co_await reply(call, std::move(bytes));
 }
 
+Awaitable<std::string> Front::create_prepared(CallPtr call, std::string body) {
+  auto request = unpack<fsql::ActionCreatePreparedStatementRequest>(parse_any(body, "the action's body"));
+  no_transaction(request);
+  const std::string text = checked_statement(std::move(*request.mutable_query()));
+  Placed placed = place(*call, text);
+  const Columns::Told told =
+      co_await columns_.tell(call, std::move(placed.text), std::move(placed.info), placed.chosen.cls, true);
+  if (told.error.code != 0) plan_failed(told.error);
+  const auto handle = prepared_.create(clock_.now(), text);
+  if (!handle)
+    throw CallError(Code::kResourceExhausted, "no room for further prepared statements; close some");
+  fsql::ActionCreatePreparedStatementResult created;
+  created.set_prepared_statement_handle(*handle);
+  created.set_dataset_schema(told.dataset);
+  created.set_parameter_schema(told.parameters);
+  co_return pack(created);
+}
+
 // Cancels whatever runs on the info's tickets. The two actions' results have the same numbers.
 fsql::ActionCancelQueryResult::CancelResult Front::cancel(const flight::FlightInfo& info) {
   bool found = false;
--- a/src/flightsql/front.h
+++ b/src/flightsql/front.h
@@ -14,6 +14,7 @@
 #include "base/log.h"
 #include "carrier/carrier.h"
 #include "config/gateway_config.h"
+#include "flightsql/columns.h"
 #include "flightsql/messages.h"
 #include "flightsql/prepared.h"
 #include "flightsql/tickets.h"
@@ -37,7 +38,9 @@
   rpc::Awaitable<void> handle(std::shared_ptr<rpc::ServerCall> call);
 
   // Takes other selectors over, for requests that come from now on.
-  void set_selectors(config::SelectorSettings selectors) { selectors_ = std::move(selectors); }
+  void set_selectors(config::SelectorSettings selectors);
+
+  const Columns& columns() const { return columns_; }
 
  private:
   class Reply;
@@ -45,6 +48,8 @@
 
   rpc::Awaitable<void> handshake(CallPtr call);
   rpc::Awaitable<void> get_flight_info(CallPtr call);
+  rpc::Awaitable<void> get_schema(CallPtr call);
+  rpc::Awaitable<std::string> create_prepared(CallPtr call, std::string body);
   rpc::Awaitable<void> do_get(CallPtr call);
   rpc::Awaitable<void> do_put(CallPtr call);
   rpc::Awaitable<void> do_action(CallPtr call);
@@ -54,17 +59,26 @@
   // Reads the parameter batches of a DoPut, the first message among them; one list of literals for each row.
   rpc::Awaitable<std::vector<std::vector<std::string>>> read_rows(CallPtr call, std::string first);
 
+  // A statement, and what its words and the call's headers make of it.
+  struct Placed {
+    std::string text;
+    sql::StatementInfo info;
+    config::Selection chosen;
+  };
+  Placed place(const rpc::ServerCall& call, std::string text) const;
+
   struct Ran {
     carrier::FinalAnswer answer;
-    bool gone = false;  // the client has left
+    bool other_schema = false;  // than was promised
+    bool gone = false;          // the client has left
     bool cancelled = false;
     std::string message;  // of an update that wasn't to be forwarded: the node's answer
   };
   // Runs a statement. Its messages go to the client as they come, or, for updates, into Ran.
-  rpc::Awaitable<Ran> run(CallPtr call, std::string text, bool update, uint64_t serial, bool repeat);
+  rpc::Awaitable<Ran> run(CallPtr call, std::string text, bool update, const OpenedTicket& ticket,
+                          bool repeat);
   // What the module is told of a statement.
-  QueryRequest request_of(const rpc::ServerCall& call, const std::string& text, bool update,
-                          bool repeat) const;
+  QueryRequest request_of(const rpc::ServerCall& call, const Placed& placed, bool update, bool repeat) const;
   // Passes an answer's messages on until it is over. kept takes the one that shouldn't go out by itself.
   rpc::Awaitable<void> forward(CallPtr call, std::shared_ptr<Reply> reply, bool update, std::string* kept);
   rpc::Awaitable<void> finish(CallPtr call, Ran ran);
@@ -86,6 +100,7 @@
   Log& log_;
   TicketOffice tickets_;
   PreparedStatements prepared_;
+  Columns columns_;
   std::unordered_map<std::string, size_t> open_by_peer_;
   std::multimap<uint64_t, std::weak_ptr<Reply>> running_;  // by ticket
 };
--- a/src/flightsql/node_client.cpp
+++ b/src/flightsql/node_client.cpp
@@ -9,6 +9,7 @@
 #include "flightsql/messages.h"
 #include "flightsql/terms.h"
 #include "sablelink.pb.h"
+#include "sql/statement.h"
 
 namespace sablelink::flightsql {
 namespace {
@@ -34,6 +35,25 @@
   return note;
 }
 
+// Reads a SchemaResult, or the Result of CreatePreparedStatement.
+bool read_plan(const std::string& message, bool prepared, wire::Plan* plan, std::string* handle) {
+  if (!prepared) {
+    flight::SchemaResult result;
+    if (!result.ParseFromString(message)) return false;
+    plan->set_dataset(std::move(*result.mutable_schema()));
+    return true;
+  }
+  flight::Result result;
+  google::protobuf::Any any;
+  fsql::ActionCreatePreparedStatementResult created;
+  if (!result.ParseFromString(message) || !any.ParseFromString(result.body()) || !any.UnpackTo(&created))
+    return false;
+  plan->set_dataset(std::move(*created.mutable_dataset_schema()));
+  plan->set_parameters(std::move(*created.mutable_parameter_schema()));
+  *handle = std::move(*created.mutable_prepared_statement_handle());
+  return true;
+}
+
 AttemptResult broken(rpc::Code code, std::string what) {
   AttemptResult result;
   result.outcome = Outcome::kError;
@@ -108,8 +128,10 @@
     result.error = {static_cast<int>(rpc::Code::kUnavailable), "no connection to the node"};
   } else if (task->dropped) {
     co_return;
-  } else if (order.statement->update) {
+  } else if (order.statement->task == carrier::Task::kUpdate) {
     result = co_await update(task, to, order);
+  } else if (order.statement->task == carrier::Task::kPlan) {
+    result = co_await plan(task, to, order);
   } else {
     result = co_await query(task, to, order);
   }
@@ -182,6 +204,60 @@
   co_return result;
 }
 
+// GetSchema tells the columns of what a statement would answer. A statement with parameters has to be
+// prepared: the answer to that tells the parameters' too.
+Awaitable<AttemptResult> NodeClient::plan(std::shared_ptr<Task> task, std::shared_ptr<rpc::Channel> to,
+                                          const AttemptOrder& order) {
+  const bool prepares = sql::count_parameters(order.statement->text) > 0;
+  std::string question;
+  if (prepares) {
+    fsql::ActionCreatePreparedStatementRequest request;
+    request.set_query(order.statement->text);
+    flight::Action action;
+    action.set_type("CreatePreparedStatement");
+    action.set_body(pack(request));
+    question = action.SerializeAsString();
+  } else {
+    fsql::CommandStatementQuery command;
+    command.set_query(order.statement->text);
+    question = descriptor_of(command).SerializeAsString();
+  }
+  const std::shared_ptr<rpc::ClientCall> call =
+      to->call(method(prepares ? "DoAction" : "GetSchema"), metadata(task->key, order), 0);
+  task->call = call;
+  co_await call->write(std::move(question), true);
+  const std::optional<std::string> message = co_await call->read();
+  AttemptResult result;
+  if (task->dropped) co_return result;
+  const rpc::CallEnd end = co_await call->finish();
+  result = map_call_end(end);
+  if (!end.status.ok() || task->dropped) co_return result;
+  wire::Plan found;
+  std::string handle;
+  if (!message || !read_plan(*message, prepares, &found, &handle)) {
+    result = broken(rpc::Code::kInternal, "the node's plan is no answer that Flight SQL knows");
+    co_return result;
+  }
+  if (!handle.empty()) spawn(forget_prepared(to, std::move(handle)));
+  std::string bytes = found.SerializeAsString();
+  carrier_->attempt_message(task->key, std::move(bytes));
+  co_return result;
+}
+
+// The node is told that its prepared statement isn't wanted any more. Whether it hears, it decides itself.
+Awaitable<void> NodeClient::forget_prepared(std::shared_ptr<rpc::Channel> to, std::string handle) {
+  fsql::ActionClosePreparedStatementRequest request;
+  request.set_prepared_statement_handle(std::move(handle));
+  flight::Action action;
+  action.set_type("ClosePreparedStatement");
+  action.set_body(pack(request));
+  const std::shared_ptr<rpc::ClientCall> call = to->call(method("DoAction"), {}, kProbeMostUs);
+  std::string bytes = action.SerializeAsString();
+  co_await call->write(std::move(bytes), true);
+  co_await call->read();
+  co_await call->finish();
+}
+
 void NodeClient::drop(AttemptKey key) {
   const auto it = running_.find(number_of(key));
   if (it == running_.end()) return;
--- a/src/flightsql/node_client.h
+++ b/src/flightsql/node_client.h
@@ -67,6 +67,11 @@
   rpc::Awaitable<carrier::AttemptResult> update(std::shared_ptr<Task> task,
                                                 std::shared_ptr<rpc::Channel> channel,
                                                 const carrier::AttemptOrder& order);
+  // Asks for a statement's columns; nothing is run.
+  rpc::Awaitable<carrier::AttemptResult> plan(std::shared_ptr<Task> task,
+                                              std::shared_ptr<rpc::Channel> channel,
+                                              const carrier::AttemptOrder& order);
+  rpc::Awaitable<void> forget_prepared(std::shared_ptr<rpc::Channel> channel, std::string handle);
   // Hands the answer's messages on until there are no more.
   rpc::Awaitable<rpc::CallEnd> relay(std::shared_ptr<Task> task);
   rpc::Metadata metadata(carrier::AttemptKey key, const carrier::AttemptOrder& order) const;
--- a/src/flightsql/terms.h
+++ b/src/flightsql/terms.h
@@ -24,10 +24,16 @@
 // Client to gateway to node: the client's own name for its request.
 inline constexpr std::string_view kClientTagKey = "x-request-id";
 
+// A planning call is no client's: its name begins so, and a line of the log, at the moment when it is made,
+// tells it as "tag".
+inline constexpr std::string_view kPlanTag = "plan:";
+inline constexpr std::string_view kPlanEvent = "planning";
+
 // Gateway to client, in trailers.
 inline constexpr std::string_view kVerdictKey = "x-sablelink-verdict";
 inline constexpr std::string_view kReasonKey = "x-sablelink-reason";
 inline constexpr std::string_view kAttemptsKey = "x-sablelink-attempts";
+inline constexpr std::string_view kSchemaKey = "x-sablelink-schema";  // "changed": not the one promised
 inline constexpr std::string_view kPushbackKey = "grpc-retry-pushback-ms";
 
 // The number that a key's value is; the fallback where there is none or it isn't one.
--- a/src/flightsql/tickets.cpp
+++ b/src/flightsql/tickets.cpp
@@ -35,10 +35,11 @@
   return {hash.low64, hash.high64};
 }
 
-std::string TicketOffice::issue(std::string_view statement) {
+std::string TicketOffice::issue(std::string_view statement, uint64_t promised) {
   wire::TicketBody body;
   body.set_serial(++last_);
   body.set_statement(std::string(statement));
+  body.set_promised(promised);
   used_[last_ % kRemembered] = false;
   const std::string bytes = body.SerializeAsString();
   const std::array<uint64_t, 2> sealed = seal(bytes);
@@ -70,6 +71,7 @@
   out.fault = TicketFault::kNone;
   out.serial = body.serial();
   out.statement = body.statement();
+  out.promised = body.promised();
   return out;
 }
 
--- a/src/flightsql/tickets.h
+++ b/src/flightsql/tickets.h
@@ -19,6 +19,7 @@
   TicketFault fault = TicketFault::kNone;
   uint64_t serial = 0;
   std::string statement;
+  uint64_t promised = 0;  // as it was issued with
 };
 
 class TicketOffice {
@@ -26,7 +27,8 @@
   // Two random numbers of this gateway's start: the first is told in every ticket, the second never.
   TicketOffice(uint64_t life, uint64_t secret) : life_(life), secret_(secret), used_(kRemembered, false) {}
 
-  std::string issue(std::string_view statement);
+  // promised: a hash of the schema told along with the ticket; 0: none.
+  std::string issue(std::string_view statement, uint64_t promised = 0);
   OpenedTicket open(std::string_view ticket) const;
 
   // True for a ticket's first use. Remembers the last 2^20 tickets; of older ones each use counts as further.
--- a/src/nodes/content.cpp
+++ b/src/nodes/content.cpp
@@ -135,10 +135,10 @@
 std::string Content::label(int64_t row) const {
   char text[80];
   const bool last = row + 1 == rows_;
-  const int n = last ? std::snprintf(text, sizeof(text), "gallery %lld %08x last of %lld",
-                                     static_cast<long long>(row), mark(row), static_cast<long long>(rows_))
-                     : std::snprintf(text, sizeof(text), "gallery %lld %08x", static_cast<long long>(row),
-                                     mark(row));
+  const int n =
+      last ? std::snprintf(text, sizeof(text), "gallery %lld %08x last of %lld", static_cast<long long>(row),
+                           mark(row), static_cast<long long>(rows_))
+           : std::snprintf(text, sizeof(text), "gallery %lld %08x", static_cast<long long>(row), mark(row));
   std::string out(text, static_cast<size_t>(n));
   if (out.size() < row_bytes_) out.resize(row_bytes_, '.');
   return out;
@@ -229,7 +229,8 @@
   if (!fault_.empty() || !served) return fault_;
   const int64_t rows = read_hint(statement_).rows;
   if (content_.empty()) return "it holds no batch";
-  if (next_ != rows) return "it ends after " + std::to_string(next_) + " of " + std::to_string(rows) + " rows";
+  if (next_ != rows)
+    return "it ends after " + std::to_string(next_) + " of " + std::to_string(rows) + " rows";
   return "";
 }
 
--- a/src/nodes/content.h
+++ b/src/nodes/content.h
@@ -39,6 +39,7 @@
 
   const arrowipc::Schema& schema() const { return schema_; }
   int64_t rows() const { return rows_; }
+  size_t row_bytes() const { return row_bytes_; }  // of a row's text, at least
   arrowipc::Batch batch(int64_t first, int64_t count) const;
   // Whether a row of a batch, as read, is the row of the number. Columns are those of the schema.
   bool holds(const arrowipc::Batch& batch, int64_t at, int64_t number) const;
--- a/src/nodes/node_config.cpp
+++ b/src/nodes/node_config.cpp
@@ -30,6 +30,7 @@
   c.heeds_grants = node.flag("grants", false);
   c.progress_every_us = node.time("progress_every", 0);
   c.report_every_us = node.time("report_every", c.report_every_us);
+  c.batch_bytes = node.bytes("batch_bytes", c.batch_bytes);
   node.finish();
   Section s = root.table("engine");
   EngineSettings& e = c.engine;
@@ -111,6 +112,12 @@
       read<size_t>(value, 0, 1 << 20, hint.row_bytes);
     else if (key == "mishap")
       hint.mishap = mishap_named(value);
+    else if (key == "valid_at")
+      hint.valid_at = value;
+    else if (key == "plan")
+      hint.plan_us = static_cast<double>(config::parse_time(value).value_or(2'000));
+    else if (key == "plan_mishap")
+      hint.plan_mishap = mishap_named(value);
     else if (key == "on_attempt")
       read(value, -1, 255, hint.on_attempt);
   }
--- a/src/nodes/node_config.h
+++ b/src/nodes/node_config.h
@@ -38,6 +38,7 @@
   bool heeds_grants = false;
   TimeUs progress_every_us = 0;      // 0: no notes
   TimeUs report_every_us = 200'000;  // load reports are refreshed so often
+  size_t batch_bytes = 64u << 10;    // of an answer's batches, about
   std::vector<Fault> faults;
   std::string record;  // file that takes a record of what passes; empty: none
 };
@@ -67,6 +68,10 @@
   };
   Mishap mishap = Mishap::kNone;
   int on_attempt = -1;
+  std::string valid_at;  // the only node to which the statement is right; empty: all
+  // Of planning it.
+  double plan_us = 2'000;
+  Mishap plan_mishap = Mishap::kNone;
 };
 StatementHint read_hint(std::string_view statement);
 
--- a/src/nodes/stand_in.h
+++ b/src/nodes/stand_in.h
@@ -9,6 +9,7 @@
 
 #include "arrowipc/array.h"
 #include "base/clock.h"
+#include "carrier/ports.h"
 #include "nodes/content.h"
 #include "nodes/engine.h"
 #include "nodes/node_config.h"
@@ -20,8 +21,8 @@
 // Everything happens on one strand.
 class StandIn {
  public:
-  // The clock must outlive the node; the recorder may be none. Nodes of one fleet share their tables; one that
-  // is given none has some of its own.
+  // The clock must outlive the node; the recorder may be none. Nodes of one fleet share their tables; one
+  // that is given none has some of its own.
   StandIn(NodeConfig config, Clock& clock, Recorder* recorder, std::shared_ptr<Tables> tables = nullptr);
   ~StandIn();
 
@@ -38,7 +39,8 @@
   struct Job;
   using CallPtr = std::shared_ptr<rpc::ServerCall>;
 
-  rpc::Awaitable<void> execute(CallPtr call, std::string statement, bool update);
+  // prepares: a plan is told as a prepared statement.
+  rpc::Awaitable<void> execute(CallPtr call, std::string statement, carrier::Task task, bool prepares);
   rpc::Awaitable<bool> work(std::shared_ptr<Job> job);
   Content content_of(const std::string& statement) const;
   rpc::Awaitable<bool> send_rows(CallPtr call, Content content, bool break_off);
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -64,6 +64,7 @@
 
 constexpr double kColdRate = 1.1;     // work of a core at capacity: 85% busy, and over a fifth is reading
 constexpr double kColdSigmas = 3.3;   // room for chance where gateways can only take their turns at random
+constexpr double kColdSpread = 1.5;   // ... and, of the work sent, for costs that stray from their mean
 constexpr double kColdWindow = 1.15;  // the budget's window is kept this much longer, for the same reason
 constexpr double kGrantMargin = 1.1, kEngineMargin = 1.25;  // grants over the estimate, ours and engines' own
 constexpr TimeUs kResubscribeUs = 500 * kMs;  // after a failed call to discovery
@@ -735,7 +736,7 @@
     for (const ClassStats& c : stats_) heaviest = std::max(heaviest, c.work_us);
     if (cold_budget(e) < heaviest) return e.cold_credit >= cold_price(q, e);
     for (const auto& before : e.cold_sent) sent += before.work_us, variance += before.variance;
-    return sent + kColdSigmas * std::sqrt(variance / std::max(1, s_.instances)) <= cold_budget(e);
+    return sent + kColdSpread * std::sqrt(variance / std::max(1, s_.instances)) <= cold_budget(e);
   }
 
   // What the query adds to the variance of the work sent. Sent there again, it strays just as it did before.
--- a/src/service/gateway_core.cpp
+++ b/src/service/gateway_core.cpp
@@ -55,8 +55,11 @@
     lists = lists_.get();
   }
   carrier::NodeTransport& transport = wrapped_ ? *wrapped_ : nodes_;
-  carrier_ = std::make_unique<carrier::Carrier>(config.settings, seeds.module, config.carrier, ports.clock,
-                                                transport, *lists, ports.log);
+  carrier_ = ports.make_carrier
+                 ? ports.make_carrier(config.settings, seeds.module, config.carrier, ports.clock, transport,
+                                      *lists, ports.log)
+                 : std::make_unique<carrier::Carrier>(config.settings, seeds.module, config.carrier,
+                                                      ports.clock, transport, *lists, ports.log);
   nodes_.set_carrier(carrier_.get());
   front_ = std::make_unique<flightsql::Front>(config, seeds.front, *carrier_, ports.clock, ports.log);
 }
--- a/src/service/gateway_core.h
+++ b/src/service/gateway_core.h
@@ -27,6 +27,11 @@
   static GatewaySeeds draw(const std::function<uint64_t()>& random);
 };
 
+// Makes the carrier that a gateway uses.
+using CarrierMaker = std::function<std::unique_ptr<carrier::Carrier>(
+    const Settings& settings, uint64_t seed, const carrier::CarrierLimits& limits, Clock& clock,
+    carrier::NodeTransport& nodes, carrier::ListSource& lists, Log& log)>;
+
 // What a gateway is built on. All must outlive it.
 struct GatewayPorts {
   boost::asio::any_io_executor executor;
@@ -36,7 +41,8 @@
   // Asked for the list where given; else it is answered with what set_nodes() has told last.
   carrier::ListSource* lists = nullptr;
   // For tests that plant defects: stands between the carrier and the node client.
-  std::function<std::unique_ptr<carrier::NodeTransport>(carrier::NodeTransport&)> wrap_nodes;
+  std::function<std::unique_ptr<carrier::NodeTransport>(carrier::NodeTransport&)> wrap_nodes{};
+  CarrierMaker make_carrier{};  // another carrier than the plain one
 };
 
 // Used on its executor alone.
--- a/src/sim/defects.h
+++ b/src/sim/defects.h
@@ -9,6 +9,7 @@
 #include "carrier/ports.h"
 #include "config/gateway_config.h"
 #include "rpc/rpc.h"
+#include "service/gateway_core.h"
 #include "sim/run.h"
 #include "sim/world.h"
 
@@ -25,15 +26,18 @@
   Clock& clock();
   std::function<std::unique_ptr<carrier::NodeTransport>(carrier::NodeTransport&)> wrap_nodes() const;
   std::shared_ptr<rpc::ServerCall> wrap_call(std::shared_ptr<rpc::ServerCall> call);
+  service::CarrierMaker make_carrier() const;
 
  private:
   class LosingClock;
   class SpoiltCall;
+  struct Earlier;
 
   const Defect defect_;
   Actor& actor_;
   std::unique_ptr<LosingClock> losing_;
   uint64_t calls_ = 0;
+  const std::shared_ptr<Earlier> earlier_;
 };
 
 }  // namespace sablelink::sim
--- a/src/sim/observer.h
+++ b/src/sim/observer.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <array>
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -11,6 +12,7 @@
 #include "audit/rules.h"
 #include "flightsql/client.h"
 #include "nodes/recorder.h"
+#include "schemas/planning.h"
 #include "sim/network.h"
 #include "sim/scenario.h"
 #include "sim/world.h"
@@ -31,7 +33,8 @@
 class Observer : public NetworkTap, public nodes::Recorder {
  public:
   // The world must outlive it. Times of the rules are the world's, so nothing is allowed for.
-  Observer(World& world, audit::AuditSettings settings);
+  Observer(World& world, audit::AuditSettings settings, const schemas::PlanningLimits& planning,
+           int planning_class);
   ~Observer() override;
 
   // From the network.
@@ -53,6 +56,8 @@
   void gateway_stalls(const std::string& gateway, TimeUs until);
   void clock_jumps(const std::string& gateway, TimeUs by);
   void node_down(const std::string& node);
+  // A gateway makes a planning call: a request of its own, that no client's call shows.
+  void plans(const std::string& gateway, const std::string& tag);
   // What a client makes of its try. leaves: it went away by itself.
   void client_ends(audit::ClientRecord client, const flightsql::QueryResult& result, bool leaves);
 
@@ -64,6 +69,7 @@
   const std::vector<audit::Finding>& findings() const { return all_; }
   const audit::Rules& rules() const { return rules_; }
   const Ends& ends() const { return ends_; }
+  uint64_t plans_made() const { return plans_made_; }
 
  private:
   // A client's request at its gateway.
@@ -74,10 +80,18 @@
     bool over = false;  // at the gateway
   };
   bool excused(const Taken& taken, TimeUs ended_at) const;
+  bool stood_still(const Taken& taken, TimeUs ended_at) const;  // its gateway, or died
   void tell(const std::string& text) { world_.tell(text); }
 
   World& world_;
   audit::Rules rules_;
+  const schemas::PlanningLimits planning_;
+  const int planning_class_;
+  struct Plans {
+    std::deque<TimeUs> asked, made;  // statements that clients asked about, and planning calls
+  };
+  std::map<std::string, Plans> plans_;  // by gateway, of its present life
+  uint64_t plans_made_ = 0;
   std::map<std::string, audit::ClientRecord> asked_;  // by tag; until their end
   std::map<std::string, Taken> taken_;                // by tag
   // Ended at their clients before their requests arrived anywhere: these still may.
@@ -88,6 +102,7 @@
   // answer, or one alone. True: the ticket has come, and the next call hasn't left.
   std::map<std::pair<std::string, int>, bool> attempts_;
   std::vector<std::pair<std::string, int>> between_;  // since when no step has ended
+  std::set<std::string> jumped_;                      // gateways whose clocks have
   std::set<std::string> started_;                     // nodes, once at least
   std::map<std::string, uint64_t> lives_;
   std::map<std::string, std::vector<std::pair<TimeUs, TimeUs>>> stalls_;
--- a/src/sim/scenario.cpp
+++ b/src/sim/scenario.cpp
@@ -56,6 +56,29 @@
   return c;
 }
 
+// What the request reads and how, from a stream of its own.
+void make_reader(const Scenario& s, RequestEvent* r) {
+  RandomStream random(s.seed, named("reader", r->number));
+  // Often of a few shapes, now and then of one that nobody else has.
+  constexpr const char* kSelects[] = {"*", "id, label", "weight, id", "label, 'x', 4", "taken_at, *"};
+  r->select = kSelects[random.below(5)];
+  if (random.chance(0.06)) r->select = "id, " + std::to_string(random.below(100'000)) + ", label";
+  if (random.chance(0.06)) {
+    constexpr const char* kMishaps[] = {"error", "refuse", "hang", "lost", "reset", "statement"};
+    r->plan_mishap = kMishaps[random.below(6)];
+  }
+  if (!random.chance(0.08)) return;
+  // More than is held back, in many messages.
+  r->rows = static_cast<int>(random.between(30, 300));
+  r->row_bytes = static_cast<size_t>(random.between(200, 900));
+  if (random.chance(0.3)) r->read_every_us = random.between(kMs, 40 * kMs);
+  if (random.chance(0.15)) r->stops_after = static_cast<int>(random.below(12));
+  // Some leave while bytes wait for them, or see their node break off in the middle.
+  if (r->read_every_us > 0 && random.chance(0.3))
+    r->leaves_after_us = random.between(r->patience_us / 4, r->patience_us);
+  if (random.chance(0.15)) r->mishap = "break";
+}
+
 RequestEvent make_request(const Scenario& s, const Character& world, uint64_t number) {
   RandomStream random(s.seed, named("request", number));
   RequestEvent r;
@@ -96,6 +119,7 @@
     constexpr const char* kMishaps[] = {"error", "refuse", "hang", "lost", "reset", "break"};
     r.mishap = kMishaps[random.below(6)];
   }
+  make_reader(s, &r);
   return r;
 }
 
@@ -219,6 +243,11 @@
     e.threads = r.number("threads", 0.1, 1000, 1);
     e.memory_mb = r.number("memory", 0, 1e6, 16);
     e.rows = static_cast<int>(r.integer("rows", 0, 1'000'000, 3));
+    e.row_bytes = r.bytes("row_bytes", 16);
+    e.select = r.text("select", "*");
+    e.read_every_us = r.time("reads_every", 0);
+    e.stops_after = static_cast<int>(r.integer("stops_after", -1, 1'000'000, -1));
+    e.plan_mishap = r.text("plan_mishap", "");
     e.patience_us = r.time("patience", 2 * kSecond);
     e.leaves_after_us = r.time("leaves_after", 0);
     e.tries = static_cast<int>(r.integer("tries", 1, 100, 1));
@@ -264,7 +293,11 @@
     if (!r.key.empty()) out += "key = \"" + r.key + "\"\n";
     out += "work = " + time_text(static_cast<TimeUs>(r.work_us)) + "\nthreads = " + number_text(r.threads) +
            "\nmemory = " + number_text(r.memory_mb) + "\nrows = " + std::to_string(r.rows) +
-           "\npatience = " + time_text(r.patience_us) + "\n";
+           "\nrow_bytes = " + std::to_string(r.row_bytes) + "\nselect = \"" + r.select +
+           "\"\npatience = " + time_text(r.patience_us) + "\n";
+    if (r.read_every_us > 0) out += "reads_every = " + time_text(r.read_every_us) + "\n";
+    if (r.stops_after >= 0) out += "stops_after = " + std::to_string(r.stops_after) + "\n";
+    if (!r.plan_mishap.empty()) out += "plan_mishap = \"" + r.plan_mishap + "\"\n";
     if (r.leaves_after_us > 0) out += "leaves_after = " + time_text(r.leaves_after_us) + "\n";
     out += "tries = " + std::to_string(r.tries) + "\n";
     if (!r.mishap.empty()) out += "mishap = \"" + r.mishap + "\"\n";
--- a/src/sim/scenario.h
+++ b/src/sim/scenario.h
@@ -72,11 +72,16 @@
   double work_us = 0;
   double threads = 1;
   double memory_mb = 16;
+  std::string select = "*";  // the columns asked for
   int rows = 3;
+  size_t row_bytes = 16;
+  TimeUs read_every_us = 0;  // a slow reader: pauses before each message
+  int stops_after = -1;      // reads no further after so many messages; -1: reads all
   TimeUs patience_us = 0;
   TimeUs leaves_after_us = 0;  // 0: stays
   int tries = 1;
-  std::string mishap;  // of the statement, as nodes/node_config.h names them; on its first attempt
+  std::string plan_mishap;  // of planning it
+  std::string mishap;       // of the statement, as nodes/node_config.h names them; on its first attempt
 };
 
 struct Scenario {
