Hard cases of schemas on loopback; metadata commands; contents checked by the interop tests

Need: what other client libraries do in their order of calls, and tables that change, engines that are missing or slow.

--- a/src/badday/day.cpp
+++ b/src/badday/day.cpp
@@ -298,7 +298,7 @@
         loop_.call_after(static_cast<TimeUs>(p.leaves_at * static_cast<double>(patience)),
                          [cancel = o.cancel] { cancel->cancel_all(); });
       }
-      std::string sql = statement(t, p.work_us);
+      std::string sql = statement(t, p);
       const std::string asked = sql;
       flightsql::Client& to = *gateways_[p.gateway].client;
       r.asked_at = loop_.now();
@@ -343,11 +343,18 @@
     --running_;
   }
 
-  static std::string statement(const Traffic& t, double work_us) {
+  // Most statements are of a few shapes; one in fifty is of its own.
+  static std::string statement(const Traffic& t, const Planned& p) {
+    static constexpr const char* kSelects[] = {"*", "id, label", "label, weight", "taken_at, id",
+                                               "id, 'x', 5"};
+    const std::string number = std::to_string(p.number);
+    const std::string select = p.number % 50 == 49 ? "id, " + number : kSelects[p.number % 5];
+    const double work_us = p.work_us;
     char hint[160];
     std::snprintf(hint, sizeof(hint), "/*+ work=%.0fus threads=%g memory=%g rows=%lld */", work_us, t.threads,
                   t.memory_mb, static_cast<long long>(t.rows));
-    return (t.update ? "UPDATE gallery SET seen = 1 " : "SELECT * FROM gallery ") + std::string(hint);
+    return (t.update ? std::string("UPDATE gallery SET seen = 1 ") : "SELECT " + select + " FROM gallery ") +
+           std::string(hint) + " WHERE id = " + number;
   }
 
   void wait_for_clients() {
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -56,6 +56,13 @@
 deadline = "30s"
 repeat = "unsafe"
 late_worth = 0.5
+[[class]]
+name = "plan"
+aim = "250ms"
+deadline = "5s"
+late_worth = 0.5
+[planning]
+class = "plan"
 [[kind]]
 name = "stand-in"
 cores = 8
--- a/src/flightsql/front.cpp
+++ b/src/flightsql/front.cpp
@@ -120,6 +120,7 @@
     : limits_(config.front),
       selectors_(config.selectors),
       classes_(config.settings.classes),
+      most_wait_us_(config.planning.wait_us),
       carrier_(carrier),
       clock_(clock),
       log_(log),
@@ -241,6 +242,12 @@
   if (any.Is<fsql::CommandGetDbSchemas>()) return db_schemas(all, unpack<fsql::CommandGetDbSchemas>(any));
   if (any.Is<fsql::CommandGetTables>()) return tables(all, unpack<fsql::CommandGetTables>(any));
   if (any.Is<fsql::CommandGetTableTypes>()) return table_types();
+  if (any.Is<fsql::CommandGetXdbcTypeInfo>())
+    return xdbc_type_info(unpack<fsql::CommandGetXdbcTypeInfo>(any));
+  if (any.Is<fsql::CommandGetPrimaryKeys>()) return no_primary_keys();
+  if (any.Is<fsql::CommandGetExportedKeys>() || any.Is<fsql::CommandGetImportedKeys>() ||
+      any.Is<fsql::CommandGetCrossReference>())
+    return no_foreign_keys();
   return std::nullopt;
 }
 
@@ -311,11 +318,33 @@
   co_await reply(call, std::move(bytes));
 }
 
+// One after the other, and no more than a client waits for one plan: what isn't known by then isn't told.
+Awaitable<std::vector<std::string>> Front::table_schemas(CallPtr call,
+                                                         const fsql::CommandGetTables& command) {
+  std::vector<std::string> out;
+  const TimeUs until = clock_.now() + most_wait_us_;
+  for (std::string& text : table_statements(selectors_.tables, command)) {
+    if (clock_.now() >= until || call->cancelled()) break;
+    Placed placed = place(*call, std::move(text));
+    const Columns::Told told = co_await columns_.tell(call, std::move(placed.text), std::move(placed.info),
+                                                      placed.chosen.cls, false);
+    out.push_back(told.dataset);
+  }
+  co_return out;
+}
+
 Awaitable<void> Front::do_get(CallPtr call) {
   std::optional<std::string> message = co_await call->read();
   if (!message) wrong("a Ticket was expected");
   const auto any = parse_any(parse<flight::Ticket>(*message, "the request").ticket(), "the ticket");
-  if (const auto table = metadata_table(any, selectors_.tables)) {
+  if (auto table = metadata_table(any, selectors_.tables)) {
+    if (any.Is<fsql::CommandGetTables>()) {
+      const auto command = unpack<fsql::CommandGetTables>(any);
+      if (command.include_schema()) {
+        const std::vector<std::string> schemas = co_await table_schemas(call, command);
+        table = tables(selectors_.tables, command, schemas);
+      }
+    }
     std::string bytes = flight_data(arrowipc::encode_schema(table->schema));
     const bool written = co_await call->write(std::move(bytes));
     if (!written) co_return;
--- a/src/flightsql/front.h
+++ b/src/flightsql/front.h
@@ -49,6 +49,7 @@
   rpc::Awaitable<void> handshake(CallPtr call);
   rpc::Awaitable<void> get_flight_info(CallPtr call);
   rpc::Awaitable<void> get_schema(CallPtr call);
+  rpc::Awaitable<std::vector<std::string>> table_schemas(CallPtr call, const fsql::CommandGetTables& command);
   rpc::Awaitable<std::string> create_prepared(CallPtr call, std::string body);
   rpc::Awaitable<void> do_get(CallPtr call);
   rpc::Awaitable<void> do_put(CallPtr call);
@@ -95,6 +96,7 @@
   const config::FrontLimits limits_;
   config::SelectorSettings selectors_;
   const std::vector<ClassSettings> classes_;
+  const TimeUs most_wait_us_;  // for plans, in one call
   carrier::Carrier& carrier_;
   Clock& clock_;
   Log& log_;
--- a/src/nodes/content.cpp
+++ b/src/nodes/content.cpp
@@ -20,6 +20,8 @@
   });
 }
 
+std::string_view own_name(std::string_view table) { return table.substr(table.rfind('.') + 1); }
+
 // The items between SELECT and FROM, at depth 0.
 std::vector<std::vector<sql::Token>> select_list(std::string_view statement) {
   std::vector<std::vector<sql::Token>> items;
@@ -44,14 +46,16 @@
 }  // namespace
 
 int Tables::added(std::string_view table) const {
-  const auto it = added_.find(table);
+  const std::lock_guard lock(mutex_);
+  const auto it = added_.find(own_name(table));
   return it == added_.end() ? 0 : it->second;
 }
 
 void Tables::define(std::string_view statement) {
   const sql::StatementInfo info = sql::inspect(statement);
   if (info.kind != sql::StatementKind::kDefinition || info.tables.empty()) return;
-  int& added = added_[info.tables[0]];
+  const std::lock_guard lock(mutex_);
+  int& added = added_[std::string(own_name(info.tables[0]))];
   for (const sql::Token& t : sql::tokenize(statement)) {
     if (t.kind != sql::TokenKind::kWord) continue;
     if (same_word(t.text, "add")) ++added;
--- a/src/nodes/content.h
+++ b/src/nodes/content.h
@@ -11,6 +11,7 @@
 #include <boost/crc.hpp>
 #include <cstdint>
 #include <map>
+#include <mutex>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -20,7 +21,8 @@
 
 namespace sablelink::nodes {
 
-// The tables of a fleet of stand-ins, as one catalogue that all of them read. Used on one thread.
+// The tables of a fleet of stand-ins, as one catalogue that all of them read; from any thread. A table goes
+// by its own name, whatever schema is named with it.
 class Tables {
  public:
   // Columns added to the table so far.
@@ -29,6 +31,7 @@
   void define(std::string_view statement);
 
  private:
+  mutable std::mutex mutex_;
   std::map<std::string, int, std::less<>> added_;
 };
 
--- a/src/service/gateway_service.cpp
+++ b/src/service/gateway_service.cpp
@@ -73,6 +73,19 @@
   const bool all = ended.wait_for(std::chrono::microseconds(grace)) == std::future_status::ready;
   constexpr TimeUs kFlushUs = 500'000;  // for answers that are still on their way out
   server_->shutdown(all ? kFlushUs : 0);
+  inspect([this](const carrier::Carrier&, const flightsql::Front& front) {
+    const schemas::Store::Counts& known = front.columns().store().counts();
+    const schemas::Planning::Counts& plans = front.columns().planning().counts();
+    log_->info("columns", {{"asked", std::to_string(plans.asked)},
+                           {"known", std::to_string(known.hits)},
+                           {"unknown", std::to_string(known.misses)},
+                           {"plans", std::to_string(plans.calls)},
+                           {"shared", std::to_string(plans.shared)},
+                           {"over_budget", std::to_string(plans.over_budget)},
+                           {"too_many", std::to_string(plans.too_many)},
+                           {"learned", std::to_string(known.learned)},
+                           {"changed", std::to_string(front.columns().changed())}});
+  });
   log_->info("stopped", {{"all_ended", all ? "true" : "false"}});
 }
 
--- a/src/service/node_service.cpp
+++ b/src/service/node_service.cpp
@@ -4,11 +4,12 @@
 
 namespace sablelink::service {
 
-NodeService::NodeService(nodes::NodeConfig config, const System& system, nodes::Recorder* recorder)
+NodeService::NodeService(nodes::NodeConfig config, const System& system, nodes::Recorder* recorder,
+                         std::shared_ptr<nodes::Tables> tables)
     : loop_(system.wall, system.steady) {
   rpc::GrpcServerOptions options;
   options.address = config.listen;
-  node_ = std::make_unique<nodes::StandIn>(std::move(config), loop_, recorder);
+  node_ = std::make_unique<nodes::StandIn>(std::move(config), loop_, recorder, std::move(tables));
   server_ = std::make_unique<rpc::GrpcServer>(options, loop_, [this](std::shared_ptr<rpc::ServerCall> call) {
     return node_->handle(std::move(call));
   });
--- a/src/service/node_service.h
+++ b/src/service/node_service.h
@@ -12,7 +12,8 @@
 class NodeService {
  public:
   // Listens and serves at once; the recorder may be none. Throws rpc::ListenError.
-  NodeService(nodes::NodeConfig config, const System& system, nodes::Recorder* recorder);
+  NodeService(nodes::NodeConfig config, const System& system, nodes::Recorder* recorder,
+              std::shared_ptr<nodes::Tables> tables = nullptr);
   ~NodeService();
 
   int port() const { return server_->port(); }
--- a/src/sim/observer.cpp
+++ b/src/sim/observer.cpp
@@ -250,6 +250,8 @@
 bool Observer::excused(const Taken& taken, TimeUs ended_at) const {
   if (taken.answer_left_at != 0 && (taken.deadline_at == 0 || taken.answer_left_at <= taken.deadline_at))
     return true;
+  // It came when the client's time was up already; a slow reader finds that out late.
+  if (taken.deadline_at != 0 && taken.arrived_at > taken.deadline_at) return true;
   return stood_still(taken, ended_at);
 }
 
--- /dev/null
+++ b/tests/schemas_loopback_test.cpp
@@ -0,0 +1,558 @@
+// Schemas as clients see them, on loopback sockets: in the order of calls that other client libraries make,
+// and where tables change, engines are missing, slow or at odds.
+#include <algorithm>
+#include <set>
+
+#include "nodes/content.h"
+#include "tests/loopback_harness.h"
+
+namespace sablelink::test {
+namespace {
+
+namespace flight = flightsql::flight;
+namespace fsql = flightsql::fsql;
+using flightsql::descriptor_of;
+using flightsql::pack;
+
+// What one call came back with.
+struct Reply {
+  rpc::CallEnd end;
+  std::vector<std::string> messages;
+  bool ok() const { return end.status.ok(); }
+};
+
+class Schemas : public Loopback {
+ protected:
+  void SetUp() override {
+    Loopback::SetUp();
+    ClassSettings plan;
+    plan.aim_us = 100 * kMs;
+    plan.deadline_us = 2 * kSecond;
+    plan.late_worth = 0.5;
+    config_.settings.classes.push_back(plan);
+    config_.class_names.push_back("plan");
+    config_.planning.on = true;
+    config_.planning.free = 10'000;
+    config_.planning.at_once = 1'000;
+    config_.planning_class = config_.class_named("plan");
+  }
+
+  Reply call(const std::string& method, std::string message, Client* client = nullptr) {
+    return spawn(calling(client == nullptr ? client_.get() : client, method, {std::move(message)})).get();
+  }
+  std::future<Reply> calls(const std::string& method, std::string message) {
+    return spawn(calling(client_.get(), method, {std::move(message)}));
+  }
+  static rpc::Awaitable<Reply> calling(Client* client, std::string method,
+                                       std::vector<std::string> messages) {
+    const auto made =
+        client->channel().call("/arrow.flight.protocol.FlightService/" + method, {}, 10 * kSecond);
+    for (size_t i = 0; i < messages.size(); ++i)
+      co_await made->write(std::move(messages[i]), i + 1 == messages.size());
+    Reply out;
+    while (std::optional<std::string> message = co_await made->read())
+      out.messages.push_back(*std::move(message));
+    out.end = co_await made->finish();
+    co_return out;
+  }
+
+  // Actions as clients make them.
+  Reply act(const std::string& type, std::string body) {
+    flight::Action action;
+    action.set_type(type);
+    action.set_body(std::move(body));
+    return call("DoAction", action.SerializeAsString());
+  }
+  fsql::ActionCreatePreparedStatementResult prepare(const std::string& sql, Reply* reply = nullptr) {
+    fsql::ActionCreatePreparedStatementRequest request;
+    request.set_query(sql);
+    const Reply r = act("CreatePreparedStatement", pack(request));
+    if (reply != nullptr) *reply = r;
+    fsql::ActionCreatePreparedStatementResult created;
+    flight::Result result;
+    google::protobuf::Any any;
+    if (r.messages.size() == 1 && result.ParseFromString(r.messages[0]) && any.ParseFromString(result.body()))
+      any.UnpackTo(&created);
+    return created;
+  }
+  Reply close(const std::string& handle) {
+    fsql::ActionClosePreparedStatementRequest request;
+    request.set_prepared_statement_handle(handle);
+    return act("ClosePreparedStatement", pack(request));
+  }
+  template <typename Command>
+  flight::FlightInfo info(const Command& command, Reply* reply = nullptr) {
+    const Reply r = call("GetFlightInfo", descriptor_of(command).SerializeAsString());
+    if (reply != nullptr) *reply = r;
+    flight::FlightInfo out;
+    if (r.messages.size() == 1) out.ParseFromString(r.messages[0]);
+    return out;
+  }
+  flight::FlightInfo info(const std::string& sql, Reply* reply = nullptr) {
+    fsql::CommandStatementQuery command;
+    command.set_query(sql);
+    return info(command, reply);
+  }
+  static std::optional<arrowipc::Schema> schema_of(const std::string& encapsulated) {
+    if (encapsulated.empty()) return std::nullopt;
+    return arrowipc::decode_encapsulated_schema(encapsulated);
+  }
+  // Runs a ticket's statement and reads its answer to the end; what was wrong with it.
+  std::string read(const flight::FlightInfo& with, const std::string& sql, QueryResult* out = nullptr) {
+    const auto check = std::make_shared<nodes::AnswerCheck>(sql);
+    if (with.endpoint_size() != 1) return "no endpoint";
+    const QueryResult r =
+        spawn(client_->fetch(
+                  with.endpoint(0).ticket().SerializeAsString(), options(10 * kSecond),
+                  [check](const auto& schema, const auto& batch) { check->on_batch(schema, batch); }))
+            .get();
+    if (out != nullptr) *out = r;
+    if (r.verdict != Verdict::kServed) return "not served: " + r.status.message;
+    const std::string fault = check->fault(true);
+    const std::optional<arrowipc::Schema> promised = schema_of(with.schema());
+    if (fault.empty() && promised && *promised != r.schema && !r.schema_changed) return "another schema";
+    return fault;
+  }
+  // Rows of a metadata command's answer.
+  template <typename Command>
+  QueryResult metadata(const Command& command) {
+    const flight::FlightInfo with = info(command);
+    EXPECT_TRUE(schema_of(with.schema()));
+    if (with.endpoint_size() != 1) return {};
+    const QueryResult r =
+        spawn(client_->fetch(with.endpoint(0).ticket().SerializeAsString(), options(5 * kSecond))).get();
+    EXPECT_TRUE(r.status.ok()) << r.status.message;
+    return r;
+  }
+  // Planning calls that reached a node, each counted once however often it was tried.
+  size_t plans() {
+    std::set<std::string> tags;
+    for (const NodeEvent& e : recorder_.events())
+      if (e.kind == NodeEvent::Kind::kArrived && e.tag.starts_with(flightsql::kPlanTag)) tags.insert(e.tag);
+    return tags.size();
+  }
+  schemas::Store::Counts store_counts() {
+    schemas::Store::Counts counts;
+    gateway_->inspect(
+        [&](const carrier::Carrier&, const flightsql::Front& f) { counts = f.columns().store().counts(); });
+    return counts;
+  }
+};
+
+// ---- The order of calls of other libraries --------------------------------------------------------------
+
+// As a library does that prepares each statement, asks for its FlightInfo, decodes the schema there and only
+// then fetches.
+TEST_F(Schemas, TwoThousandStatementsInTheOrderOfAStrictClient) {
+  for (int i = 0; i < 3; ++i) add_node();
+  start();
+  size_t faults = 0;
+  for (int i = 0; i < 2000; ++i) {
+    static constexpr const char* kSelects[] = {"*", "id, label", "weight, 'x'", "label, 7, id", "taken_at"};
+    const std::string sql = std::string("SELECT ") + kSelects[i % 5] +
+                            " FROM gallery /*+ work=100us rows=" + std::to_string(i % 7) +
+                            " */ WHERE id = " + std::to_string(i);
+    const auto created = prepare(sql);
+    fsql::CommandPreparedStatementQuery command;
+    command.set_prepared_statement_handle(created.prepared_statement_handle());
+    const flight::FlightInfo with = info(command);
+    const bool told = schema_of(created.dataset_schema()).has_value() && schema_of(with.schema()).has_value();
+    const std::string fault = told ? read(with, sql) : "no schema";
+    if (!fault.empty() && ++faults < 5) ADD_FAILURE() << sql << ": " << fault;
+    close(created.prepared_statement_handle());
+  }
+  EXPECT_EQ(faults, 0u);
+  EXPECT_EQ(plans(), 5u);
+  EXPECT_EQ(audited(), "");
+}
+
+// A tool's first minute, in the order of JDBC and ADBC drivers.
+TEST_F(Schemas, AToolsFirstMinute) {
+  add_node();
+  config_.selectors.tables.push_back({"default", "archive", "photo", 1});
+  start();
+  flight::HandshakeRequest hello;
+  EXPECT_TRUE(call("Handshake", hello.SerializeAsString()).ok());
+  EXPECT_GT(metadata(fsql::CommandGetSqlInfo()).rows, 5);
+  EXPECT_EQ(metadata(fsql::CommandGetCatalogs()).rows, 1);
+  EXPECT_EQ(metadata(fsql::CommandGetDbSchemas()).rows, 2);
+  EXPECT_EQ(metadata(fsql::CommandGetTableTypes()).rows, 1);
+  EXPECT_EQ(metadata(fsql::CommandGetXdbcTypeInfo()).rows, 7);
+  fsql::CommandGetTables tables;
+  tables.set_include_schema(true);
+  const QueryResult listed = metadata(tables);
+  ASSERT_EQ(listed.rows, 2);
+  for (int64_t row = 0; row < 2; ++row) {
+    const auto columns = schema_of(std::string(listed.batches[0].columns[4].bytes_at(row)));
+    ASSERT_TRUE(columns);
+    EXPECT_EQ(columns->fields.size(), 4u) << "the engine's own columns of the table";
+  }
+  fsql::CommandGetPrimaryKeys keys;
+  keys.set_table("photo");
+  EXPECT_EQ(metadata(keys).rows, 0);
+  EXPECT_EQ(metadata(fsql::CommandGetExportedKeys()).rows, 0);
+  EXPECT_EQ(metadata(fsql::CommandGetImportedKeys()).rows, 0);
+  EXPECT_EQ(metadata(fsql::CommandGetCrossReference()).schema.fields.size(), 13u);
+
+  const std::string sql = "SELECT id, label FROM photo /*+ rows=3000 */ WHERE gallery = ? AND name = ?";
+  const auto created = prepare(sql);
+  EXPECT_EQ(schema_of(created.dataset_schema())->fields.size(), 2u);
+  EXPECT_EQ(schema_of(created.parameter_schema())->fields.size(), 2u);
+  arrowipc::Field number{"1", arrowipc::Type::kInt64, true, {}, {}, {}};
+  arrowipc::Field text{"2", arrowipc::Type::kUtf8, true, {}, {}, {}};
+  const arrowipc::Schema schema{{number, text}};
+  arrowipc::ArrayBuilder a(number), b(text);
+  a.integer(48213);
+  b.bytes("Oak");
+  arrowipc::Batch batch;
+  batch.rows = 1;
+  batch.columns = {a.finish(), b.finish()};
+  fsql::CommandPreparedStatementQuery command;
+  command.set_prepared_statement_handle(created.prepared_statement_handle());
+  flight::FlightData first, second;
+  *first.mutable_flight_descriptor() = descriptor_of(command);
+  first.set_data_header(arrowipc::encode_schema(schema).header);
+  const arrowipc::Message message = arrowipc::encode_batch(schema, batch);
+  second.set_data_header(message.header);
+  second.set_data_body(message.body);
+  EXPECT_TRUE(spawn(calling(client_.get(), "DoPut", {first.SerializeAsString(), second.SerializeAsString()}))
+                  .get()
+                  .ok());
+  const flight::FlightInfo with = info(command);
+  EXPECT_EQ(schema_of(with.schema()), schema_of(created.dataset_schema()));
+  EXPECT_EQ(read(with, "SELECT id, label FROM photo /*+ rows=3000 */ WHERE gallery = 48213 AND name = 'Oak'"),
+            "");
+
+  // A second one is cancelled half way.
+  const flight::FlightInfo slow = info(std::string("SELECT id FROM photo /*+ work=5s */"));
+  auto running = spawn(client_->fetch(slow.endpoint(0).ticket().SerializeAsString(), options(10 * kSecond)));
+  ASSERT_TRUE(wait_for([&] { return open_requests() > 0; }));
+  flight::CancelFlightInfoRequest cancel;
+  *cancel.mutable_info() = slow;
+  EXPECT_TRUE(act("CancelFlightInfo", cancel.SerializeAsString()).ok());
+  EXPECT_EQ(running.get().status.code, Code::kCancelled);
+  EXPECT_TRUE(close(created.prepared_statement_handle()).ok());
+  EXPECT_TRUE(act("CloseSession", "").ok());
+  EXPECT_EQ(audited(), "");
+}
+
+TEST_F(Schemas, GetSchemaTellsWhatGetFlightInfoTells) {
+  add_node();
+  start();
+  fsql::CommandStatementQuery command;
+  command.set_query("SELECT label, 5 FROM gallery");
+  const Reply r = call("GetSchema", descriptor_of(command).SerializeAsString());
+  ASSERT_TRUE(r.ok()) << r.end.status.message;
+  flight::SchemaResult result;
+  ASSERT_TRUE(result.ParseFromString(r.messages.at(0)));
+  EXPECT_EQ(result.schema(), info(command).schema());
+  EXPECT_EQ(plans(), 1u);
+  EXPECT_EQ(call("GetSchema", "x").end.status.code, Code::kInvalidArgument);
+}
+
+TEST_F(Schemas, AnUpdateIsPreparedWithoutColumnsAndWithoutAPlan) {
+  add_node();
+  start();
+  EXPECT_EQ(prepare("INSERT INTO gallery VALUES (1)").dataset_schema(), "");
+  EXPECT_EQ(plans(), 0u);
+}
+
+// ---- One plan for all ------------------------------------------------------------------------------------
+
+TEST_F(Schemas, AHundredClientsWithOneUnknownShapeMakeOnePlan) {
+  add_node();
+  start();
+  std::vector<std::future<Reply>> asked;
+  for (int i = 0; i < 100; ++i) {
+    fsql::CommandStatementQuery command;
+    command.set_query("SELECT id, 7 FROM gallery /*+ plan=300ms */ WHERE id = " + std::to_string(i));
+    asked.push_back(calls("GetFlightInfo", descriptor_of(command).SerializeAsString()));
+  }
+  for (auto& a : asked) {
+    const Reply r = a.get();
+    flight::FlightInfo with;
+    ASSERT_TRUE(r.ok() && with.ParseFromString(r.messages.at(0)));
+    EXPECT_TRUE(schema_of(with.schema()));
+  }
+  EXPECT_EQ(plans(), 1u);
+  EXPECT_EQ(audited(), "");
+}
+
+TEST_F(Schemas, AnAnswerTeachesWhatNobodyPlanned) {
+  config_.planning.on = false;
+  add_node();
+  start();
+  const std::string sql = "SELECT id FROM gallery WHERE id = ";
+  EXPECT_FALSE(schema_of(info(sql + "1").schema()));
+  EXPECT_EQ(read(info(sql + "1"), sql + "1"), "");
+  EXPECT_TRUE(schema_of(info(sql + "2").schema()));
+  EXPECT_EQ(plans(), 0u);
+}
+
+// ---- Hard cases ------------------------------------------------------------------------------------------
+
+TEST_F(Schemas, ATableThatChangesBetweenPlanAndAnswer) {
+  add_node();
+  start();
+  const std::string sql = "SELECT * FROM gallery";
+  const flight::FlightInfo with = info(sql);
+  EXPECT_EQ(schema_of(with.schema())->fields.size(), 4u);
+  tables_->define("ALTER TABLE gallery ADD COLUMN seen INT");  // by whatever way; not by this gateway
+  QueryResult r;
+  EXPECT_EQ(read(with, sql, &r), "");
+  EXPECT_EQ(r.schema.fields.size(), 5u) << "the answer is the engine's, under the engine's schema";
+  EXPECT_TRUE(r.schema_changed);
+  EXPECT_EQ(schema_of(info(sql).schema())->fields.size(), 5u) << "and the next is told what it was";
+  EXPECT_EQ(plans(), 1u);
+}
+
+TEST_F(Schemas, ADefinitionThatPassesIsHeeded) {
+  add_node();
+  start();
+  const std::string sql = "SELECT * FROM gallery WHERE id = 1";
+  EXPECT_EQ(schema_of(info(sql).schema())->fields.size(), 4u);
+  EXPECT_EQ(spawn(client_->update("ALTER TABLE main.gallery ADD COLUMN seen INT", options(5 * kSecond)))
+                .get()
+                .verdict,
+            Verdict::kServed);
+  EXPECT_EQ(schema_of(info(sql).schema())->fields.size(), 5u);
+  EXPECT_EQ(plans(), 2u);
+}
+
+TEST_F(Schemas, APreparedStatementRunAfterItsTableWasAltered) {
+  add_node();
+  start();
+  const std::string sql = "SELECT * FROM gallery";
+  const auto created = prepare(sql);
+  EXPECT_EQ(schema_of(created.dataset_schema())->fields.size(), 4u);
+  spawn(client_->update("ALTER TABLE gallery ADD COLUMN seen INT", options(5 * kSecond))).get();
+  fsql::CommandPreparedStatementQuery command;
+  command.set_prepared_statement_handle(created.prepared_statement_handle());
+  const flight::FlightInfo with = info(command);
+  EXPECT_EQ(schema_of(with.schema())->fields.size(), 5u);
+  QueryResult r;
+  EXPECT_EQ(read(with, sql, &r), "");
+  EXPECT_FALSE(r.schema_changed) << "the FlightInfo had it right";
+}
+
+TEST_F(Schemas, TwoGatewaysMayKnowDifferentColumnsAndEachGivesTheAnswerAsItIs) {
+  add_node();
+  start();
+  service::GatewayService other(config_, system_);
+  auto to_other =
+      std::make_unique<Client>(channels_->open("127.0.0.1:" + std::to_string(other.port())), *loop_);
+  const std::string sql = "SELECT * FROM gallery";
+  EXPECT_EQ(schema_of(info(sql).schema())->fields.size(), 4u);
+  spawn(to_other->update("ALTER TABLE gallery ADD COLUMN seen INT", options(5 * kSecond))).get();
+  const QueryResult new_one = spawn(to_other->query(sql, options(5 * kSecond))).get();
+  EXPECT_EQ(new_one.promised->fields.size(), 5u);
+  const QueryResult old_one = spawn(client_->query(sql, options(5 * kSecond))).get();
+  EXPECT_EQ(old_one.promised->fields.size(), 4u);
+  EXPECT_EQ(old_one.schema.fields.size(), 5u);
+  EXPECT_TRUE(old_one.schema_changed);
+  to_other.reset();
+}
+
+TEST_F(Schemas, TheOnlyEngineThatCouldPlanDrains) {
+  add_node();
+  start();
+  config::GatewayConfig changed = config_;
+  changed.nodes[0].state = EngineState::kDraining;
+  gateway_->reload(changed);
+  Reply r;
+  config_.planning.wait_us = kSecond;
+  const flight::FlightInfo with = info(std::string("SELECT id FROM gallery"), &r);
+  EXPECT_TRUE(r.ok()) << r.end.status.message;
+  EXPECT_EQ(with.schema(), "");
+  EXPECT_EQ(with.endpoint_size(), 1);
+  EXPECT_EQ(plans(), 0u) << "nothing is sent to a draining node, a plan neither";
+}
+
+TEST_F(Schemas, TheOnlyEngineThatCouldPlanIsColdAndItsBudgetIsSpent) {
+  nodes::NodeConfig node;
+  add_node(node);
+  config_.settings.cold_from = 0.35;
+  config_.settings.warm_after_us = 3600 * kSecond;
+  config_.settings.fall_us = 1500 * kMs;
+  config_.settings.fall_multiple = 2;
+  config_.nodes[0].started_us = wall();  // a gateway that starts with it takes the budget for spent
+  config_.planning.wait_us = 200 * kMs;
+  start();
+  Reply r;
+  EXPECT_EQ(info(std::string("SELECT id FROM gallery"), &r).schema(), "");
+  EXPECT_TRUE(r.ok());
+  EXPECT_EQ(plans(), 0u);
+  EXPECT_EQ(audited(), "");
+}
+
+TEST_F(Schemas, AllEnginesDownAndTheColumnsKnownOrNot) {
+  add_node();
+  start();
+  const std::string known = "SELECT id FROM gallery";
+  EXPECT_EQ(read(info(known), known), "");
+  nodes_[0]->kill();
+  EXPECT_TRUE(schema_of(info(known).schema()));
+  Reply r;
+  EXPECT_FALSE(schema_of(info(std::string("SELECT label FROM gallery"), &r).schema()));
+  EXPECT_TRUE(r.ok()) << "the ticket is to be had all the same";
+  const std::string ticket = info(known).endpoint(0).ticket().SerializeAsString();
+  const QueryResult answer = spawn(client_->fetch(ticket, options(kSecond))).get();
+  EXPECT_EQ(answer.verdict, Verdict::kRefused);
+  EXPECT_TRUE(answer.from_gateway);
+}
+
+TEST_F(Schemas, APlanThatHangsHoldsNobodyForLong) {
+  add_node();
+  config_.planning.wait_us = 100 * kMs;
+  config_.planning.time_us = 400 * kMs;
+  start();
+  Reply r;
+  const std::string sql = "SELECT id FROM gallery /*+ plan_mishap=hang */";
+  EXPECT_EQ(info(sql, &r).schema(), "");
+  EXPECT_TRUE(r.ok());
+  EXPECT_TRUE(schema_of(info(std::string("SELECT label FROM gallery")).schema())) << "others are planned";
+  EXPECT_EQ(read(info(sql), sql), "") << "and the statement runs";
+  EXPECT_TRUE(schema_of(info(sql).schema())) << "which tells its columns";
+  EXPECT_TRUE(wait_for([&] { return open_requests() == 0; }));
+}
+
+TEST_F(Schemas, AClientThatGivesUpWhileItWaitsLeavesThePlanToTheOthers) {
+  add_node();
+  config_.planning.time_us = config_.planning.wait_us = 5 * kSecond;
+  start();
+  const std::string sql = "SELECT id, 9 FROM gallery /*+ plan=400ms */";
+  auto leaver = open_client();
+  ClientOptions o = options(5 * kSecond);
+  o.cancel = cancel_;
+  auto first = spawn(leaver->ask(sql, o));
+  ASSERT_TRUE(wait_for([&] { return plans() == 1; }));
+  fsql::CommandStatementQuery command;
+  command.set_query(sql);
+  auto second = calls("GetFlightInfo", descriptor_of(command).SerializeAsString());
+  sleep(50 * kMs);
+  cancel_all();
+  EXPECT_FALSE(first.get().status.ok());
+  flight::FlightInfo with;
+  ASSERT_TRUE(with.ParseFromString(second.get().messages.at(0)));
+  EXPECT_TRUE(schema_of(with.schema()));
+  EXPECT_EQ(plans(), 1u);
+  leaver.reset();
+}
+
+TEST_F(Schemas, AStatementThatIsWrongIsToldToWhomPreparesIt) {
+  add_node();
+  start();
+  Reply r;
+  prepare("SELECT id FROM gallery /*+ plan_mishap=statement */", &r);
+  EXPECT_EQ(r.end.status.code, Code::kInvalidArgument);
+  EXPECT_NE(r.end.status.message.find("syntax error"), std::string::npos) << r.end.status.message;
+}
+
+// What one engine calls wrong another may run: only running it decides.
+TEST_F(Schemas, AStatementThatIsValidOnOneEngineOnly) {
+  add_node();
+  add_node();
+  start();
+  const std::string sql = "SELECT id FROM gallery /*+ valid_at=n1 */";
+  int told = 0, served = 0;
+  for (int i = 0; i < 30; ++i) {
+    Reply r;
+    const flight::FlightInfo with =
+        info(sql + " WHERE " + std::string(static_cast<size_t>(i + 1), 'a') + " = 1", &r);
+    ASSERT_TRUE(r.ok()) << r.end.status.message;
+    told += schema_of(with.schema()).has_value();
+    const std::string text = sql + " WHERE " + std::string(static_cast<size_t>(i + 1), 'a') + " = 1";
+    served += read(with, text).empty();
+  }
+  EXPECT_GT(told, 0);
+  EXPECT_LT(told, 30);
+  EXPECT_GT(served, 0);
+  EXPECT_EQ(audited(), "");
+}
+
+TEST_F(Schemas, TenThousandDifferentStatementsStayWithinTheStoresBounds) {
+  add_node();
+  config_.schemas.entries = 500;
+  config_.schemas.bytes = 128u << 10;
+  config_.planning.free = 50;
+  config_.planning.per_statement = 0;
+  config_.front.prepared = 20'000;
+  start();
+  for (int from = 0; from < 10'000; from += 500) {
+    std::vector<std::future<Reply>> asked;
+    for (int i = from; i < from + 500; ++i) {
+      fsql::ActionCreatePreparedStatementRequest request;
+      request.set_query("SELECT id, " + std::to_string(i) + " FROM gallery");
+      flight::Action action;
+      action.set_type("CreatePreparedStatement");
+      action.set_body(pack(request));
+      asked.push_back(calls("DoAction", action.SerializeAsString()));
+    }
+    for (auto& a : asked) EXPECT_TRUE(a.get().ok());
+  }
+  EXPECT_GT(plans(), 0u);
+  EXPECT_LE(plans(), 50u) << "what is over the budget goes without";
+  gateway_->inspect([&](const carrier::Carrier& c, const flightsql::Front& f) {
+    EXPECT_LE(f.columns().store().size(), 500u);
+    EXPECT_LE(f.columns().store().bytes(), 128u << 10);
+    EXPECT_EQ(f.columns().planning().waiting(), 0u);
+    EXPECT_EQ(c.held_bytes(), 0u);
+  });
+}
+
+TEST_F(Schemas, NoRowsAreAnAnswerToo) {
+  add_node();
+  start();
+  const std::string sql = "SELECT id, label FROM gallery /*+ rows=0 */";
+  QueryResult r;
+  EXPECT_EQ(read(info(sql), sql, &r), "");
+  EXPECT_EQ(r.rows, 0);
+  EXPECT_EQ(r.schema.fields.size(), 2u);
+}
+
+TEST_F(Schemas, OtherTablesInTheConfigurationForgetWhatWasLearned) {
+  add_node();
+  start();
+  const std::string sql = "SELECT id FROM gallery";
+  info(sql);
+  gateway_->reload(config_);
+  info(sql);
+  EXPECT_EQ(plans(), 1u) << "nothing has changed";
+  config::GatewayConfig changed = config_;
+  changed.selectors.tables.push_back({"default", "main", "photo", 7});
+  gateway_->reload(changed);
+  info(sql);
+  EXPECT_EQ(plans(), 2u);
+}
+
+// 200 MB to a reader that takes its time, while lookups pass beside it: what is held stays bounded. Here the
+// reader stands still until they have passed; bench/gateway_bench has it at 1 MB a second.
+TEST_F(Schemas, ALargeAnswerToASlowReaderBesideAThousandLookups) {
+  add_node();
+  start();
+  const std::string sql = "SELECT label FROM gallery /*+ rows=3200 row_bytes=65536 work=10ms */";
+  auto reader = open_client();
+  ClientOptions o = options(60 * kSecond);
+  o.read_every_us = kMs;
+  const auto check = std::make_shared<nodes::AnswerCheck>(sql);
+  auto large = spawn(reader->query(
+      sql, o, [check](const auto& schema, const auto& batch) { check->on_batch(schema, batch); }));
+  ASSERT_TRUE(wait_for([&] { return recorder_.count(NodeEvent::Kind::kArrived) > plans(); }));
+  size_t most = 0;
+  for (int i = 0; i < 1000; ++i) {
+    const std::string lookup = "SELECT id FROM gallery /*+ work=100us */ WHERE id = " + std::to_string(i);
+    ASSERT_EQ(read(info(lookup), lookup), "");
+    if (i % 10 != 0) continue;
+    gateway_->inspect(
+        [&](const carrier::Carrier& c, const flightsql::Front&) { most = std::max(most, c.held_bytes()); });
+  }
+  const QueryResult r = large.get();
+  EXPECT_EQ(r.verdict, Verdict::kServed) << r.status.message;
+  EXPECT_EQ(check->fault(r.verdict == Verdict::kServed), "");
+  EXPECT_GT(most, 0u);
+  EXPECT_LE(most, config_.carrier.hold_bytes + config_.carrier.window_bytes + (1u << 20));
+  reader.reset();
+}
+
+}  // namespace
+}  // namespace sablelink::test
