--- a/src/flightsql/front.cpp
+++ b/src/flightsql/front.cpp
@@ -139,12 +139,13 @@
 
 Awaitable<void> Front::handle(CallPtr call) {
   using Handler = Awaitable<void> (Front::*)(CallPtr);
-  static constexpr std::array<std::pair<std::string_view, Handler>, 6> kMethods = {{
+  static constexpr std::array<std::pair<std::string_view, Handler>, 7> kMethods = {{
       {"DoGet", &Front::do_get},
       {"GetFlightInfo", &Front::get_flight_info},
       {"GetSchema", &Front::get_schema},
       {"DoPut", &Front::do_put},
       {"DoAction", &Front::do_action},
+      {"ListActions", &Front::list_actions},
       {"Handshake", &Front::handshake},
   }};
   Handler handler = nullptr;
@@ -641,6 +642,28 @@
   co_await reply(call, std::move(bytes));
 }
 
+Awaitable<void> Front::list_actions(CallPtr call) {
+  static constexpr std::pair<const char*, const char*> kActions[] = {
+      {"CreatePreparedStatement", "Prepares a statement; its columns and those of its parameters come back"},
+      {"ClosePreparedStatement", "Forgets a prepared statement"},
+      {"CancelFlightInfo", "Cancels what runs on a FlightInfo's tickets"},
+      {"CancelQuery", "The same, as Flight SQL had it before"},
+      {"CloseSession", "Ends a session; none are kept"}};
+  co_await call->read();
+  std::string bytes;
+  for (const auto& [type, description] : kActions) {
+    if (!bytes.empty()) {
+      const bool written = co_await call->write(std::move(bytes));
+      if (!written) co_return;
+    }
+    flight::ActionType action;
+    action.set_type(type);
+    action.set_description(description);
+    bytes = action.SerializeAsString();
+  }
+  co_await reply(call, std::move(bytes));
+}
+
 Awaitable<std::string> Front::create_prepared(CallPtr call, std::string body) {
   auto request = unpack<fsql::ActionCreatePreparedStatementRequest>(parse_any(body, "the action's body"));
   no_transaction(request);
--- a/src/flightsql/front.h
+++ b/src/flightsql/front.h
@@ -54,6 +54,7 @@
   rpc::Awaitable<void> do_get(CallPtr call);
   rpc::Awaitable<void> do_put(CallPtr call);
   rpc::Awaitable<void> do_action(CallPtr call);
+  rpc::Awaitable<void> list_actions(CallPtr call);
 
   rpc::Awaitable<void> bind(CallPtr call, const std::string& handle, std::string first);
   rpc::Awaitable<void> update_prepared(CallPtr call, const std::string& handle, std::string first);
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -168,20 +168,29 @@
   EXPECT_EQ(b.engine_of(7), 1u);
 }
 
-// Work sent to a cold engine within one window, in core-microseconds: class 0 costs 200 ms.
-double cold_work(int instances, bool fresh_gateway) {
+// Work sent to a cold engine within one window, in core-microseconds: class 0 costs 200 ms in the mean, and so much
+// more or less. one_query: a single one comes back again and again, never admitted.
+double cold_work(int instances, bool fresh_gateway, double spread_us = 0, bool one_query = false) {
   Settings s = plain_settings();
   s.instances = instances;
+  s.max_attempts = 100;
+  s.classes[1].aim_us = 400 * kMs;  // taken for light enough that a small share holds one
   Bench b(s);
   if (!fresh_gateway) {
     b.list({engine(1)});
     for (RequestId id = 1; id <= 20; ++id) {
       b.request(id, 0, 5 * kSecond);
       b.run_for(20 * kMs);
-      b.end(id, Outcome::kOk, 200'000);
+      b.end(id, Outcome::kOk, 200'000 + (id % 2 == 0 ? spread_us : -spread_us));
     }
     b.run_for(2 * kSecond);
   }
+  if (one_query) {
+    b.list({engine(2, 0, 0, b.now())});
+    b.request(100, 0, 5 * kSecond);
+    for (int i = 0; i < 100 && b.sends(100) > i; ++i) b.end(100, Outcome::kFull);
+    return b.sends_to(2) * 200'000.0;
+  }
   b.list({engine(2, 0, 0, b.now())});
   for (RequestId id = 100; id < 400; ++id) {
     b.request(id, 0, 5 * kSecond);
@@ -199,6 +208,17 @@
   EXPECT_LE(of_three, 1.7 * limit / 3);
 }
 
+// Simulated worlds 1906, 2257 and 3547: costs that nobody tells came to more than their mean.
+TEST(ColdEngines, LeaveRoomForCostsThatStrayFromTheirMean) {
+  const double even = cold_work(8, false), straying = cold_work(8, false, 180'000);
+  EXPECT_GT(straying, 0);
+  EXPECT_LT(straying, 0.95 * even);
+}
+
+TEST(ColdEngines, AQueryThatComesBackStraysTheSameEachTime) {
+  EXPECT_LT(cold_work(8, false, 180'000, true), cold_work(8, false, 180'000));
+}
+
 TEST(ColdEngines, AGatewayThatHasJustStartedTakesTheBudgetAsSpent) { EXPECT_EQ(cold_work(1, true), 0); }
 
 Settings ordered_settings() {
--- a/tests/schemas_loopback_test.cpp
+++ b/tests/schemas_loopback_test.cpp
@@ -173,6 +173,7 @@
   start();
   flight::HandshakeRequest hello;
   EXPECT_TRUE(call("Handshake", hello.SerializeAsString()).ok());
+  EXPECT_EQ(call("ListActions", "").messages.size(), 5u);
   EXPECT_GT(metadata(fsql::CommandGetSqlInfo()).rows, 5);
   EXPECT_EQ(metadata(fsql::CommandGetCatalogs()).rows, 1);
   EXPECT_EQ(metadata(fsql::CommandGetDbSchemas()).rows, 2);
