--- a/bench/gateway_bench.cpp
+++ b/bench/gateway_bench.cpp
@@ -1,7 +1,10 @@
 // What a gateway adds: the same client against a stand-in node directly and through the gateway, in one run,
 // each in a process of its own on loopback. Prints figures and ratios; see docs/benchmarks.md.
 //
-//   gateway_bench PROGRAM [--seconds S] [--rate R] [--width W]
+//   gateway_bench PROGRAM [--seconds S] [--rate R] [--width W] [--columns] [--large]
+//
+// --columns: tickets whose columns are known, planned, or left empty. --large: 200 MB to a reader of 1 MB a
+// second while lookups pass beside it; takes some four minutes.
 #include <unistd.h>
 
 #include <CLI/CLI.hpp>
@@ -12,6 +15,7 @@
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
+#include <functional>
 #include <future>
 #include <random>
 #include <sstream>
@@ -95,6 +99,28 @@
     return figures(std::exchange(times_, {}), other_, loop_.now() - begin);
   }
 
+  // Tickets alone, one after the other; statement(i) tells which.
+  Figures tickets(int count, std::function<std::string(int)> statement) {
+    const TimeUs begin = loop_.now();
+    out_ = 1;
+    loop_.post([this, count, statement = std::move(statement)] {
+      asio::co_spawn(loop_.executor(), asking(count, statement), asio::detached);
+    });
+    while (out_ > 0) std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    return figures(std::exchange(times_, {}), other_, loop_.now() - begin);
+  }
+
+  // One answer, read at a pace; bytes of rows that have come so far, and whether it is over.
+  struct Reading {
+    std::atomic<int64_t> rows{0};
+    std::atomic<bool> over{false}, served{false};
+  };
+  void read(std::string statement, TimeUs every, std::shared_ptr<Reading> out) {
+    loop_.post([this, statement = std::move(statement), every, out = std::move(out)] {
+      asio::co_spawn(loop_.executor(), reading(statement, every, out), asio::detached);
+    });
+  }
+
   // Sends queries that stay open.
   void hold(int count, const std::string& statement) {
     loop_.post([this, count, statement] {
@@ -122,6 +148,30 @@
     else
       ++other_;
   }
+  rpc::Awaitable<void> asking(int count, std::function<std::string(int)> statement) {
+    for (int i = 0; i < count; ++i) {
+      flightsql::ClientOptions options;
+      options.timeout_us = 20'000'000;
+      std::string sql = statement(i);
+      const TimeUs from = loop_.now();
+      const Client::Ticket ticket = co_await clients_[0]->ask(std::move(sql), std::move(options));
+      if (ticket.status.ok())
+        times_.push_back(loop_.now() - from);
+      else
+        ++other_;
+    }
+    --out_;
+  }
+  rpc::Awaitable<void> reading(std::string sql, TimeUs every, std::shared_ptr<Reading> out) {
+    flightsql::ClientOptions options;
+    options.timeout_us = 1'000'000'000;
+    options.read_every_us = every;
+    const flightsql::QueryResult r =
+        co_await clients_[0]->query(std::move(sql), std::move(options),
+                                    [out](const auto&, const auto& batch) { out->rows += batch.rows; });
+    out->served = r.verdict == carrier::Verdict::kServed;
+    out->over = true;
+  }
   rpc::Awaitable<void> held(std::string sql) {
     flightsql::ClientOptions options;
     options.timeout_us = 120'000'000;
@@ -167,7 +217,43 @@
   std::fflush(stdout);
 }
 
-int run(const std::string& program, double seconds, double rate, int width) {
+void measure_columns(const service::System& system, const std::string& planning, const std::string& plain) {
+  constexpr int kTickets = 2'000;
+  const auto known = [](int i) { return "SELECT id FROM gallery WHERE id = " + std::to_string(i); };
+  const auto fresh = [](int i) {
+    return "SELECT id, " + std::to_string(i) + " FROM gallery /*+ plan=1us */";
+  };
+  std::printf("tickets, one after the other:\n");
+  Load(system, plain, 1).warmed().tickets(kTickets, known);  // no schema is known, as nothing has run
+  print("  nothing known, no planning", Load(system, plain, 1).warmed().tickets(kTickets, known));
+  Load(system, planning, 1).warmed().tickets(10, known);
+  print("  columns known", Load(system, planning, 1).warmed().tickets(kTickets, known));
+  print("  each planned", Load(system, planning, 1).warmed().tickets(kTickets, fresh));
+}
+
+// Reads 200 MB at 1 MB a second, in messages of 64 KiB.
+void measure_large(const service::System& system, const Process& gateway, const std::string& to) {
+  const Figures alone = Load(system, to, 2).warmed().open_loop(50, 20'000'000);
+  const long before = resident_kib(gateway.pid());
+  Load reader(system, to, 1);
+  const auto reading = std::make_shared<Load::Reading>();
+  constexpr int kRows = 3'200;
+  reader.read("SELECT label FROM gallery /*+ rows=" + std::to_string(kRows) + " row_bytes=65536 work=1ms */",
+              65'536, reading);
+  const Figures beside = Load(system, to, 2).warmed().open_loop(50, 20'000'000);
+  long most = 0;
+  while (!reading->over) {
+    most = std::max(most, resident_kib(gateway.pid()));
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  }
+  print("lookups alone, 50/s", alone);
+  print("lookups beside it, 50/s", beside);
+  std::printf("200 MB at 1 MB/s: %lld of %d rows, %s; gateway %ld KiB before, %ld KiB at most\n",
+              static_cast<long long>(reading->rows), kRows, reading->served ? "served" : "NOT SERVED", before,
+              most);
+}
+
+int run(const std::string& program, double seconds, double rate, int width, bool columns, bool large) {
   service::System system;
   system.wall = [] { return std::chrono::system_clock::now(); };
   system.steady = [] { return std::chrono::steady_clock::now(); };
@@ -182,13 +268,14 @@
   std::ofstream(node_file) << "[node]\nname = \"n\"\nlisten = \"" << node
                            << "\"\n[engine]\ncores = 1000\nsessions_per_core = 100\nmemory = \"1000GiB\"\n";
   // A gateway to the node, which takes it to have so many cores.
-  const auto gateway_file = [&](const std::string& name, const std::string& listen, int cores) {
+  const auto gateway_file = [&](const std::string& name, const std::string& listen, int cores,
+                                const std::string& extra = "") {
     const std::string file = folder / (name + ".toml");
     std::ofstream(file) << "[gateway]\nname = \"" << name << "\"\nlisten = \"" << listen
                         << "\"\nlog_level = \"error\"\n[limits]\nopen_per_connection = 100000\n"
                         << "[[kind]]\nname = \"k\"\ncores = " << cores
-                        << "\n[[class]]\nname = \"q\"\naim = \"2s\"\ndeadline = \"200s\"\nlate_worth = 0.5\n"
-                        << "[[node]]\nname = \"n\"\naddress = \"" << node << "\"\n";
+                        << "\n[[class]]\nname = \"q\"\naim = \"2s\"\ndeadline = \"1000s\"\nlate_worth = 0.5\n"
+                        << extra << "[[node]]\nname = \"n\"\naddress = \"" << node << "\"\n";
     return file;
   };
   const auto start = [&](const std::string& kind, const std::string& file) {
@@ -199,6 +286,18 @@
   };
   const auto node_process = start("node", node_file);
   const auto gateway_process = start("gateway", gateway_file("wide", gateway, 1000));
+  if (columns || large) {
+    const std::string planning = badday::free_address();
+    const auto planning_process =
+        start("gateway", gateway_file("planning", planning, 1000,
+                                      "[[class]]\nname = \"p\"\naim = \"250ms\"\ndeadline = \"5s\"\n"
+                                      "[planning]\nclass = \"p\"\nfree = 100000\n"));
+    if (columns) measure_columns(system, planning, gateway);
+    if (large) measure_large(system, *planning_process, planning);
+    std::fflush(stdout);
+    std::filesystem::remove_all(folder);
+    return 0;
+  }
   const auto small_process = start("gateway", gateway_file("small", small, 4));
 
   const auto span = static_cast<TimeUs>(seconds * 1e6);
@@ -260,11 +359,14 @@
   int width = 128;
   app.add_option("program", program, "The sablelink program")->required();
   app.add_option("--seconds", seconds, "Length of each measurement")->capture_default_str();
+  bool columns = false, large = false;
+  app.add_flag("--columns", columns, "Measures tickets and their columns instead");
+  app.add_flag("--large", large, "Measures a large answer to a slow reader instead");
   app.add_option("--rate", rate, "Queries a second in the open loop")->capture_default_str();
   app.add_option("--width", width, "Queries out at all times in the closed loop")->capture_default_str();
   CLI11_PARSE(app, argc, argv);
   try {
-    return sablelink::run(program, seconds, rate, width);
+    return sablelink::run(program, seconds, rate, width, columns, large);
   } catch (const std::exception& e) {
     std::fprintf(stderr, "gateway_bench: %s\n", e.what());
     return 1;
--- a/tests/fuzz/fuzz.cpp
+++ b/tests/fuzz/fuzz.cpp
@@ -23,7 +23,9 @@
 #include "flightsql/catalog.h"
 #include "flightsql/terms.h"
 #include "flightsql/tickets.h"
+#include "nodes/content.h"
 #include "nodes/node_config.h"
+#include "sql/shape.h"
 #include "sql/statement.h"
 
 namespace sablelink {
@@ -211,6 +213,21 @@
        {"'", "\"", "`", "?", "--", "/*", "*/", "$$", "$a$", "E'", "\\", "''", "[", "]", "SELECT ", "\n"},
        statement_target});
 
+  // Shapes: nothing is lost that isn't folded, and the same text has one shape.
+  all.push_back(
+      {"shape",
+       {"SELECT a, 1 FROM t WHERE b = 'x' AND c IN (1, 2) LIMIT 3", "SELECT 5--1\n FROM t",
+        "SELECT /*! 1 */ a FROM (SELECT 2 FROM u HAVING x > 1) q WHERE a = $q$ b $q$",
+        "FROM t |> WHERE a = 1 |> SELECT 'x'; SELECT \"a\", E'\\''"},
+       {"'", "\"", "?", "--", "/*", "*/", "$$", "(", ")", ";", "|", ",", "WHERE ", "FROM ", "SELECT ", "\\"},
+       [](const std::string& text) {
+         const std::string shape = sql::shape_of(text);
+         check(shape.size() <= 2 * text.size() + 2, "a shape is longer than its statement");
+         check(sql::exact_shape_of(text).size() + 2 >= shape.size(), "folding makes it longer");
+         nodes::Content content(text, 1);  // the stand-in's own reading of it
+         check(content.schema().fields.size() >= 1, "a statement has no columns");
+       }});
+
   static flightsql::TicketOffice office(1, 2);
   all.push_back({"ticket",
                  {office.issue("SELECT 1"), office.issue(std::string(300, 's'))},
--- a/tests/schemas_test.cpp
+++ b/tests/schemas_test.cpp
@@ -57,6 +57,8 @@
       {"FROM t |> WHERE a = 1 |> EXTEND 5 AS b", "FROM t |> WHERE a = 1 |> EXTEND 'x' AS b"},
       {"FROM t WHERE a = 1 SELECT 5", "FROM t WHERE a = 1 SELECT 'x'"},
       {"VALUES (1)", "VALUES ('x')"},
+      {"FROM t SELECT limit, 5", "FROM t SELECT limit, 'x'"},
+      {"SELECT a FROM t WHERE b = 1; CALL f(5)", "SELECT a FROM t WHERE b = 1; CALL f('x')"},
       {"SELECT a FROM t GROUP BY 1", "SELECT a FROM t GROUP BY 2"},
       {"SELECT a FROM t WHERE b = 1; SELECT 5", "SELECT a FROM t WHERE b = 1; SELECT 'x'"},
       {"SELECT a FROM t WHERE b = 1 SETTINGS f = 1", "SELECT a FROM t WHERE b = 1 SETTINGS f = 2"},
@@ -251,6 +253,22 @@
   EXPECT_EQ(p.want(0, "d", 1), Planning::Word::kAsk);
 }
 
+TEST(Planning, WhatIsOverTheBudgetGoesWithout) {
+  PlanningLimits l = limits();
+  l.at_once = 100;
+  Planning p(l);
+  for (int i = 0; i < 5; ++i) EXPECT_EQ(p.want(0, std::to_string(i), 1), Planning::Word::kAsk);
+  EXPECT_EQ(p.want(0, "5", 1), Planning::Word::kGoWithout);
+  p.asked(1);
+  EXPECT_EQ(p.want(1, "5", 1), Planning::Word::kGoWithout) << "half a call more";
+  p.asked(1);
+  EXPECT_EQ(p.want(1, "5", 1), Planning::Word::kAsk);
+  EXPECT_EQ(p.want(2, "6", 1), Planning::Word::kGoWithout);
+  EXPECT_EQ(p.want(10 * kSecond, "6", 1), Planning::Word::kGoWithout) << "still in the window of the first";
+  EXPECT_EQ(p.want(10 * kSecond + 1, "6", 1), Planning::Word::kAsk);
+  EXPECT_EQ(p.counts().over_budget, 4u);
+}
+
 TEST(Planning, StaysWithinItsBudgetInEveryWindow) {
   rc::check([] {
     PlanningLimits l = limits();
