--- a/src/nodes/content.cpp
+++ b/src/nodes/content.cpp
@@ -1,7 +1,7 @@
 #include "nodes/content.h"
 
 #include <algorithm>
-#include <cstdio>
+#include <charconv>
 
 #include "sql/statement.h"
 
@@ -130,20 +130,27 @@
 // The CRC-32 that zlib also computes, over the statement, "#" and the row's number.
 uint32_t Content::mark(int64_t row) const {
   char digits[24];
-  const int n = std::snprintf(digits, sizeof(digits), "%lld", static_cast<long long>(row));
+  const char* const end = std::to_chars(digits, digits + sizeof(digits), row).ptr;
   boost::crc_32_type sum = begun_;
-  sum.process_bytes(digits, static_cast<size_t>(n));
+  sum.process_bytes(digits, static_cast<size_t>(end - digits));
   return sum.checksum();
 }
 
+// "gallery ROW MARK", and of the last row " last of ROWS". Made for every row of every simulated answer, so
+// it is put together by hand.
 std::string Content::label(int64_t row) const {
-  char text[80];
-  const bool last = row + 1 == rows_;
-  const int n =
-      last ? std::snprintf(text, sizeof(text), "gallery %lld %08x last of %lld", static_cast<long long>(row),
-                           mark(row), static_cast<long long>(rows_))
-           : std::snprintf(text, sizeof(text), "gallery %lld %08x", static_cast<long long>(row), mark(row));
-  std::string out(text, static_cast<size_t>(n));
+  static constexpr char kHex[] = "0123456789abcdef";
+  char text[96] = "gallery ";
+  char* at = std::to_chars(text + 8, text + 40, row).ptr;
+  *at++ = ' ';
+  const uint32_t sum = mark(row);
+  for (int shift = 28; shift >= 0; shift -= 4) *at++ = kHex[sum >> shift & 15];
+  if (row + 1 == rows_) {
+    constexpr std::string_view kLast = " last of ";
+    at = std::copy(kLast.begin(), kLast.end(), at);
+    at = std::to_chars(at, text + sizeof(text), rows_).ptr;
+  }
+  std::string out(text, static_cast<size_t>(at - text));
   if (out.size() < row_bytes_) out.resize(row_bytes_, '.');
   return out;
 }
