--- a/src/audit/rules.cpp
+++ b/src/audit/rules.cpp
@@ -13,6 +13,10 @@
   return only.empty() || std::find(only.begin(), only.end(), value) != only.end();
 }
 
+bool may_run_at(const ClassSettings& c, const NodeFacts& node) {
+  return allows(c.only_zones, node.zone) && allows(c.only_kinds, node.kind);
+}
+
 std::string seconds(TimeUs us) {
   char text[32];
   std::snprintf(text, sizeof(text), "%.3f s", us / 1e6);
@@ -284,9 +288,7 @@
 void Rules::check_drain(const Attempt& a) {
   const auto could_go = [&](const std::string& node) {
     const auto facts = facts_.find(node);
-    if (facts == facts_.end() || !a.client) return false;
-    const ClassSettings& c = class_of(*a.client);
-    return allows(c.only_zones, facts->second->zone) && allows(c.only_kinds, facts->second->kind);
+    return facts != facts_.end() && a.client && may_run_at(class_of(*a.client), *facts->second);
   };
   bool at_stake = false;
   for (auto t = told_.lower_bound({a.gateway, ""}); t != told_.end() && t->first.first == a.gateway; ++t)
@@ -352,7 +354,7 @@
   const ClassSettings& c = class_of(*a.client);
   if (c.only_zones.empty() && c.only_kinds.empty()) return;
   look(6, true);
-  if (!allows(c.only_zones, a.facts->zone) || !allows(c.only_kinds, a.facts->kind))
+  if (!may_run_at(c, *a.facts))
     found(6, a.request + " of class " + s_.class_names[a.client->record.cls] + " was sent to " + a.node +
                  ", where it may not run");
 }
--- a/src/flightsql/client.cpp
+++ b/src/flightsql/client.cpp
@@ -101,7 +101,6 @@
   const std::shared_ptr<rpc::ClientCall> made = call("DoGet", options);
   co_await made->write(std::move(ticket), true);
   std::string problem;
-  bool has_schema = false;
   for (int number = 0;; ++number) {
     if (options.read_every_us > 0) co_await pause(clock_, options.read_every_us);
     if (options.stops_after == number)
@@ -113,9 +112,9 @@
     try {
       if (!data.ParseFromString(*message)) throw arrowipc::FormatError("a message is no FlightData");
       if (data.data_header().empty()) continue;
-      if (!has_schema) {
+      if (!out.has_schema) {
         out.schema = arrowipc::decode_schema(data.data_header());
-        out.has_schema = has_schema = true;
+        out.has_schema = true;
         continue;
       }
       arrowipc::Batch batch = arrowipc::decode_batch(out.schema, data.data_header(), data.data_body());
--- a/src/flightsql/front.cpp
+++ b/src/flightsql/front.cpp
@@ -279,10 +279,8 @@
   if (const auto table = metadata_table(any, selectors_.tables)) {
     result.set_schema(arrowipc::encapsulate(arrowipc::encode_schema(table->schema)));
   } else {
-    Placed placed = place(*call, statement_of(any));
-    const int cls = placed.chosen.cls;
-    const Columns::Told told =
-        co_await columns_.tell(call, std::move(placed.text), std::move(placed.info), cls, false);
+    std::string text = statement_of(any);
+    const Columns::Told told = co_await columns_of(call, std::move(text), false);
     if (told.error.code != 0) plan_failed(told.error);
     if (told.dataset.empty())
       throw CallError(Code::kUnavailable, "the columns aren't known and can't be asked for now");
@@ -307,10 +305,8 @@
   } else {
     fsql::TicketStatementQuery handle;
     const std::string text = statement_of(any);
-    Placed placed = place(*call, text);
     // Where an engine finds fault with the statement, running it will tell: perhaps another doesn't.
-    const Columns::Told told = co_await columns_.tell(call, std::move(placed.text), std::move(placed.info),
-                                                      placed.chosen.cls, false);
+    const Columns::Told told = co_await columns_of(call, text, false);
     info.set_schema(told.dataset);
     handle.set_statement_handle(tickets_.issue(text, Columns::hash(told.dataset)));
     ticket.set_ticket(pack(handle));
@@ -326,9 +322,7 @@
   const TimeUs until = clock_.now() + most_wait_us_;
   for (std::string& text : table_statements(selectors_.tables, command)) {
     if (clock_.now() >= until || call->cancelled()) break;
-    Placed placed = place(*call, std::move(text));
-    const Columns::Told told = co_await columns_.tell(call, std::move(placed.text), std::move(placed.info),
-                                                      placed.chosen.cls, false);
+    const Columns::Told told = co_await columns_of(call, std::move(text), false);
     out.push_back(told.dataset);
   }
   co_return out;
@@ -393,6 +387,12 @@
   return placed;
 }
 
+Awaitable<Columns::Told> Front::columns_of(CallPtr call, std::string text, bool with_parameters) {
+  Placed placed = place(*call, std::move(text));
+  const int cls = placed.chosen.cls;
+  return columns_.tell(std::move(call), std::move(placed.text), std::move(placed.info), cls, with_parameters);
+}
+
 QueryRequest Front::request_of(const rpc::ServerCall& call, const Placed& placed, bool update,
                                bool repeat) const {
   const config::Selection& chosen = placed.chosen;
@@ -668,9 +668,7 @@
   auto request = unpack<fsql::ActionCreatePreparedStatementRequest>(parse_any(body, "the action's body"));
   no_transaction(request);
   const std::string text = checked_statement(std::move(*request.mutable_query()));
-  Placed placed = place(*call, text);
-  const Columns::Told told =
-      co_await columns_.tell(call, std::move(placed.text), std::move(placed.info), placed.chosen.cls, true);
+  const Columns::Told told = co_await columns_of(call, text, true);
   if (told.error.code != 0) plan_failed(told.error);
   const auto handle = prepared_.create(clock_.now(), text);
   if (!handle)
--- a/src/flightsql/front.h
+++ b/src/flightsql/front.h
@@ -68,6 +68,8 @@
     config::Selection chosen;
   };
   Placed place(const rpc::ServerCall& call, std::string text) const;
+  // What a statement's columns are, as far as they are known or can be asked for.
+  rpc::Awaitable<Columns::Told> columns_of(CallPtr call, std::string text, bool with_parameters);
 
   struct Ran {
     carrier::FinalAnswer answer;
