--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -2,12 +2,17 @@
 // a simulation binds it to a clock of its own.
 #pragma once
 
+#include <chrono>
 #include <functional>
 
 #include "gateway.h"
 
 namespace sablelink {
 
+// The system's clocks, as main hands them down.
+using WallClock = std::function<std::chrono::system_clock::time_point()>;
+using SteadyClock = std::function<std::chrono::steady_clock::time_point()>;
+
 class Clock {
  public:
   virtual ~Clock() = default;
--- a/src/benchlink/codec.cpp
+++ b/src/benchlink/codec.cpp
@@ -5,6 +5,8 @@
 #include <cmath>
 #include <limits>
 
+#include "settings.h"
+
 namespace sablelink::benchlink {
 namespace {
 
@@ -125,12 +127,7 @@
   for (int i = 0; i < n; ++i) {
     const float value = in.f32();
     if (i >= static_cast<int>(fields.size()) || !std::isfinite(value)) continue;
-    const std::string& name = fields[i];
-    if (name == "concurrent") report.held = value;
-    if (name == "depth") report.waiting = value;
-    if (name == "load_share") report.cpu_share = value;
-    if (name == "x0") report.memory_share = value;
-    if (name == "x1") report.disk_share = value;
+    set_report_value(report, fields[i], value);
   }
   return report;
 }
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -17,6 +17,8 @@
 int run_up(const UpOptions& options, const service::System& system);
 int run_gateway(const std::string& file, const service::System& system);
 int run_node(const std::string& file, const service::System& system);
+// A gateway on the users' platform, as BALANCER_CONFIG and SIGHUP tell.
+int run_platform(const service::System& system);
 int run_config_check(const std::string& file);
 
 struct QueryOptions {
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -34,6 +34,10 @@
   std::string config;
   gateway->add_option("--config", config, "The configuration")->required();
 
+  auto* const serve = app.add_subcommand("serve", "A gateway on the users' platform");
+  bool on_platform = false;
+  serve->add_flag("--platform", on_platform, "By the platform's protocol, as BALANCER_CONFIG tells")->required();
+
   auto* const node = app.add_subcommand("node", "A stand-in node, as its configuration tells");
   node->add_option("--config", config, "The configuration")->required();
 
@@ -93,6 +97,7 @@
   try {
     if (*up) return cli::run_up(up_options, system);
     if (*gateway) return cli::run_gateway(config, system);
+    if (*serve) return cli::run_platform(system);
     if (*node) return cli::run_node(config, system);
     if (*check) return cli::run_config_check(config);
     if (*badday) return cli::run_badday(day_options, system);
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -1,6 +1,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
+#include <cstdlib>
 #include <cstdio>
 #include <fstream>
 #include <iterator>
@@ -12,6 +13,7 @@
 #include "nodes/record_file.h"
 #include "service/gateway_service.h"
 #include "service/node_service.h"
+#include "service/platform_service.h"
 
 namespace sablelink::cli {
 namespace {
@@ -139,6 +141,31 @@
   return 0;
 }
 
+int run_platform(const service::System& system) {
+  const char* const file = std::getenv("BALANCER_CONFIG");
+  if (file == nullptr) throw platform::ConfigError("BALANCER_CONFIG names no file");
+  service::PlatformService gateway(platform::parse_config(read_file(file)), system);
+  boost::asio::signal_set signals(gateway.loop().context(), SIGTERM, SIGINT, SIGHUP);
+  std::function<void()> wait = [&] {
+    signals.async_wait([&](const boost::system::error_code& error, int signal) {
+      if (error) return;
+      if (signal == SIGHUP) {
+        try {
+          gateway.reload(platform::parse_config(read_file(file)));
+        } catch (const std::exception& e) {
+          std::fprintf(stderr, "sablelink: reload rejected, the configuration stays: %s\n", e.what());
+        }
+      } else {
+        gateway.stop();
+      }
+      wait();
+    });
+  };
+  wait();
+  gateway.run();
+  return 0;
+}
+
 int run_config_check(const std::string& file) {
   const std::string text = read_file(file);
   // A node's configuration has a [node], a gateway's has [[node]]s.
--- /dev/null
+++ b/src/http/reader.h
@@ -0,0 +1,98 @@
+// Reads HTTP/1.1 from bytes that come in pieces, either direction. No I/O. Every length is bounded, and what
+// can be read in two ways is not read at all: framing by Content-Length and Transfer-Encoding together,
+// lengths that differ, line ends other than CRLF, white space before a colon, folded lines.
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+#include "http/message.h"
+
+namespace sablelink::http {
+
+struct ReadLimits {
+  size_t head_bytes = 8 << 10;  // first line and fields, trailers the same again
+  size_t fields = 64;
+  size_t body_bytes = 256 << 10;
+  int interim = 8;  // 1xx answers before the real one
+};
+
+enum class ReadState { kMore, kDone, kBad };
+
+class Reader {
+ public:
+  // What is wrong, as the status that a server would answer with.
+  int error_status() const { return error_status_; }
+  const char* error() const { return error_; }
+  // Bytes that came after the message that has been read.
+  bool has_rest() const { return at_ < buffer_.size(); }
+  // Nothing of a message has come.
+  bool fresh() const { return stage_ == Stage::kFirstLine && at_ >= buffer_.size(); }
+  size_t buffered() const { return buffer_.size() - at_; }
+  // Bytes of the message read so far, its first line among them.
+  bool head_complete() const { return stage_ >= Stage::kBody; }
+
+ protected:
+  Reader(bool requests, const ReadLimits& limits) : requests_(requests), limits_(limits) {}
+
+  // Reads on with what has come. kDone and kBad stay until start_over().
+  ReadState feed(std::string_view bytes);
+  ReadState state() const { return state_; }
+  // The connection has ended: that ends a body without a length.
+  ReadState finish();
+  void start_over();
+
+  Request request_;
+  Response response_;
+
+ private:
+  enum class Stage { kFirstLine, kFields, kBody, kChunkSize, kChunkData, kChunkEnd, kTrailers, kUntilClose };
+
+  ReadState bad(int status, const char* why);
+  ReadState done();
+  ReadState step();
+  // The next line without its CRLF; kMore where it hasn't come whole.
+  ReadState line(std::string_view& out);
+  ReadState first_line(std::string_view text);
+  ReadState field(std::string_view text);
+  ReadState head_over();
+  ReadState chunk_size(std::string_view text);
+  Fields& fields() { return requests_ ? request_.fields : response_.fields; }
+  std::string& body() { return requests_ ? request_.body : response_.body; }
+
+  const bool requests_;
+  const ReadLimits limits_;
+  std::string buffer_;
+  size_t at_ = 0;       // of the buffer, read up to here
+  size_t scanned_ = 0;  // ... and looked through for a line's end up to here
+  Stage stage_ = Stage::kFirstLine;
+  ReadState state_ = ReadState::kMore;
+  size_t head_left_ = 0;
+  size_t left_ = 0;  // of the body or chunk
+  int interim_ = 0;
+  bool old_version_ = false;
+  int error_status_ = 0;
+  const char* error_ = "";
+  bool begun_ = false;
+};
+
+class RequestReader : public Reader {
+ public:
+  explicit RequestReader(const ReadLimits& limits) : Reader(true, limits) {}
+  ReadState feed(std::string_view bytes) { return Reader::feed(bytes); }
+  const Request& request() const { return request_; }  // after kDone; its head once head_complete()
+  // The message, after kDone; the reader goes on with the next, which may be there already: feed({}).
+  Request take();
+};
+
+class ResponseReader : public Reader {
+ public:
+  explicit ResponseReader(const ReadLimits& limits) : Reader(false, limits) {}
+  ReadState feed(std::string_view bytes) { return Reader::feed(bytes); }
+  ReadState finish() { return Reader::finish(); }
+  const Response& response() const { return response_; }
+  Response take();
+};
+
+}  // namespace sablelink::http
--- /dev/null
+++ b/src/platform/change_log.cpp
@@ -0,0 +1,164 @@
+#include "platform/change_log.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <utility>
+
+#include "base/signal.h"
+#include "http/message.h"
+
+namespace sablelink::platform {
+namespace {
+
+constexpr size_t kMostLine = 8u << 20;       // a whole list of 20,000 nodes has room
+constexpr TimeUs kSilenceUs = 1'700'000;     // heartbeats come each second
+constexpr TimeUs kDialUs = 500'000;
+constexpr TimeUs kFirstPauseUs = 20'000, kMostPauseUs = 400'000;  // between tries to connect
+constexpr size_t kPiece = 16 << 10;
+
+}  // namespace
+
+ChangeSequence::Line ChangeSequence::read(std::string_view line, ChangeEvent& event) {
+  if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
+  if (line.empty()) return Line::kPassed;
+  if (line.front() != '{') {
+    const long long last = http::whole_number(line, 9'000'000'000'000'000);
+    return last < 0 || static_cast<uint64_t>(last) > last_ ? Line::kAskAgain : Line::kPassed;
+  }
+  try {
+    event = parse_event(line, names_);
+  } catch (const ConfigError&) {
+    return Line::kAskAgain;
+  }
+  if (event.seq <= last_) return Line::kPassed;
+  if (event.seq > last_ + 1) return Line::kAskAgain;
+  last_ = event.seq;
+  return Line::kApply;
+}
+
+bool ChangeSequence::feed(std::string_view bytes, const std::function<void(const ChangeEvent&)>& apply) {
+  while (!bytes.empty()) {
+    const size_t end = bytes.find('\n');
+    if (end == std::string_view::npos) {
+      partial_ += bytes;
+      return partial_.size() <= kMostLine;
+    }
+    partial_ += bytes.substr(0, end);
+    bytes.remove_prefix(end + 1);
+    ChangeEvent event;
+    const std::string line = std::exchange(partial_, {});
+    switch (read(line, event)) {
+      case Line::kApply:
+        apply(event);
+        break;
+      case Line::kPassed:
+        break;
+      case Line::kAskAgain:
+        return false;
+    }
+  }
+  return true;
+}
+
+void ChangeSequence::take(const std::vector<ChangeEvent>& events, uint64_t up_to,
+                          const std::function<void(const ChangeEvent&)>& apply) {
+  for (const ChangeEvent& event : events) {
+    if (event.seq <= last_) continue;
+    last_ = event.seq;
+    apply(event);
+  }
+  last_ = std::max(last_, up_to);
+}
+
+bool NodeList::apply(const ChangeEvent& event) {
+  if (!event.has_list) return false;
+  if (event.whole) nodes_.clear();
+  for (const ChangeEvent::Node& told : event.nodes) {
+    if (told.gone)
+      nodes_.erase(told.node.name);
+    else
+      nodes_[told.node.name] = told.node;
+  }
+  return true;
+}
+
+std::vector<config::NodeConfig> NodeList::nodes() const {
+  std::vector<config::NodeConfig> out;
+  for (const auto& [name, node] : nodes_) out.push_back(node);
+  return out;
+}
+
+ChangeLog::ChangeLog(rpc::TcpNet& net, Clock& clock, Log& log, Told told)
+    : net_(net), clock_(clock), log_(log), told_(std::move(told)) {}
+
+void ChangeLog::apply(const std::function<void(const std::function<void(const ChangeEvent&)>&)>& source) {
+  bool changed = false;
+  source([&](const ChangeEvent& event) { changed = list_.apply(event) || changed; });
+  if (changed) told_(list_.nodes());
+}
+
+void ChangeLog::start(const PlatformConfig& config) {
+  sequence_ = std::make_unique<ChangeSequence>(0, config.names);
+  apply([&](const auto& each) { sequence_->take(config.known, config.known_seq, each); });
+  spawn(config.changelog);
+}
+
+void ChangeLog::move(const PlatformConfig& config) {
+  apply([&](const auto& each) { sequence_->take(config.known, config.known_seq, each); });
+  spawn(config.changelog);
+}
+
+void ChangeLog::spawn(const std::string& address) {
+  boost::asio::co_spawn(net_.executor(), follow(++life_, address), boost::asio::detached);
+}
+
+rpc::Awaitable<void> ChangeLog::follow(uint64_t life, std::string address) {
+  TimeUs rest = 0;
+  while (life == life_) {
+    if (rest > 0) co_await pause(clock_, rest);
+    if (life != life_) co_return;
+    rest = std::clamp(rest * 2, kFirstPauseUs, kMostPauseUs);
+    const std::shared_ptr<rpc::ByteStream> stream = co_await net_.connect(address, kDialUs);
+    if (life != life_) co_return;
+    if (!stream) continue;
+    // From here on this connection is the one: whatever an earlier one still tells is known by number.
+    if (stream_) stream_->close();
+    stream_ = stream;
+    sequence_->begin();
+    const std::string ask = "since " + std::to_string(sequence_->last()) + "\n";
+    const bool asked = co_await rpc::write_all(*stream, ask);
+    if (!asked) continue;
+    log_.info("changelog_asked", {{"address", address}, {"since", std::to_string(sequence_->last())}});
+    // Nothing for longer than a heartbeat allows: the log has stopped, though its connection stands.
+    const auto heard = std::make_shared<TimeUs>(clock_.now());
+    const auto watch = std::make_shared<std::function<void()>>();
+    *watch = [this, weak = std::weak_ptr<rpc::ByteStream>(stream), heard,
+              again = std::weak_ptr<std::function<void()>>(watch)] {
+      const auto s = weak.lock();
+      const auto self = again.lock();
+      if (!s || !self) return;
+      const TimeUs left = *heard + kSilenceUs - clock_.now();
+      if (left <= 0)
+        s->close();
+      else
+        clock_.call_after(left, [self] { (*self)(); });
+    };
+    (*watch)();
+    for (;;) {
+      const std::optional<std::string> bytes = co_await stream->read(kPiece);
+      if (life != life_) co_return;
+      if (!bytes || bytes->empty()) break;
+      *heard = clock_.now();
+      rest = 0;
+      bool trusted = true;
+      apply([&](const auto& each) { trusted = sequence_->feed(*bytes, each); });
+      if (!trusted) break;
+    }
+    stream->close();
+    if (rest == 0) rest = kFirstPauseUs / 2;
+    log_.info("changelog_broken", {{"address", address}, {"last", std::to_string(sequence_->last())}});
+  }
+}
+
+}  // namespace sablelink::platform
--- /dev/null
+++ b/src/platform/change_log.h
@@ -0,0 +1,88 @@
+// The list of nodes as the platform's change log tells it: events by number, each applied once and in order.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "platform/config.h"
+#include "rpc/tcp_stream.h"
+
+namespace sablelink::platform {
+
+// Lines out of bytes, and what each asks for. Pure.
+class ChangeSequence {
+ public:
+  ChangeSequence(uint64_t last, const Names& names) : last_(last), names_(names) {}
+
+  enum class Line {
+    kApply,   // event() is the next one
+    kPassed,  // a heartbeat, or an event known already
+    kAskAgain  // what can't be read, or a gap: the connection's text is no longer trusted
+  };
+  uint64_t last() const { return last_; }
+  // A new connection begins: what came of a line before counts no more.
+  void begin() { partial_.clear(); }
+  // Takes bytes and calls apply for each event that is next. False: ask again on a new connection.
+  bool feed(std::string_view bytes, const std::function<void(const ChangeEvent&)>& apply);
+  // Events of a configuration, which knows all up to the number.
+  void take(const std::vector<ChangeEvent>& events, uint64_t up_to,
+            const std::function<void(const ChangeEvent&)>& apply);
+
+ private:
+  Line read(std::string_view line, ChangeEvent& event);
+
+  uint64_t last_;
+  const Names names_;
+  std::string partial_;
+};
+
+// The list itself: the nodes that are known, by name. Pure.
+class NodeList {
+ public:
+  // True where the list has changed.
+  bool apply(const ChangeEvent& event);
+  std::vector<config::NodeConfig> nodes() const;
+
+ private:
+  std::map<std::string, config::NodeConfig> nodes_;
+};
+
+// The connection: asks for what is missing, again after each break and wherever nothing has come for longer
+// than the log's heartbeat allows. On the net's loop alone.
+class ChangeLog {
+ public:
+  using Told = std::function<void(const std::vector<config::NodeConfig>&)>;
+
+  // told is called with the whole list after each change. All must outlive the log and its coroutine, which
+  // ends after stop().
+  ChangeLog(rpc::TcpNet& net, Clock& clock, Log& log, Told told);
+
+  // Begins with the events that the configuration holds.
+  void start(const PlatformConfig& config);
+  // Goes on at another address; the numbers continue.
+  void move(const PlatformConfig& config);
+  void stop() { ++life_; }
+
+ private:
+  rpc::Awaitable<void> follow(uint64_t life, std::string address);
+  void apply(const std::function<void(const std::function<void(const ChangeEvent&)>&)>& source);
+  void spawn(const std::string& address);
+
+  rpc::TcpNet& net_;
+  Clock& clock_;
+  Log& log_;
+  const Told told_;
+  std::unique_ptr<ChangeSequence> sequence_;
+  NodeList list_;
+  std::shared_ptr<rpc::ByteStream> stream_;  // the connection that is followed now
+  uint64_t life_ = 0;                        // a follower of an earlier one ends
+};
+
+}  // namespace sablelink::platform
--- /dev/null
+++ b/src/platform/front.cpp
@@ -0,0 +1,338 @@
+#include "platform/front.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <utility>
+
+#include "platform/pages.h"
+#include "sql/table_group.h"
+
+namespace sablelink::platform {
+namespace {
+
+constexpr TimeUs kCallUs = 2'500'000;    // a call has to be whole within that, from its connection or first byte
+constexpr TimeUs kIdleUs = 5'000'000;    // clients close idle connections after 4 s; some never do
+constexpr TimeUs kWriteUs = 5'000'000;   // a client that takes no answer for so long is gone
+constexpr TimeUs kLingerUs = 1'000'000;  // for a client to read why it is turned away, while it still sends
+constexpr TimeUs kSweepUs = 100'000;
+constexpr TimeUs kLeastPatienceUs = 1'000;
+constexpr TimeUs kPatienceSlackUs = 1'000'000;  // over the class's patience, before a wait is out of range
+constexpr size_t kPiece = 8 << 10;
+constexpr size_t kBacklog = 16 << 10;  // bytes of calls that came before the answer to the one before
+
+std::string failure(std::string_view word) {
+  return R"({"failure":")" + std::string(word) + "\"}";
+}
+
+bool is_id(std::string_view id) {
+  return id.size() == 16 && std::all_of(id.begin(), id.end(), [](char c) {
+           return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f');
+         });
+}
+
+}  // namespace
+
+Call read_call(const http::Request& request, const FrontOptions& options) {
+  Call call;
+  const auto wrong = [&](int status, const char* error) {
+    call.status = status;
+    call.error = error;
+    return call;
+  };
+  constexpr std::string_view kPath = "/v1/";
+  if (!request.target.starts_with(kPath)) return wrong(404, "no such path");
+  const auto cls = std::find(options.classes.begin(), options.classes.end(), request.target.substr(kPath.size()));
+  if (cls == options.classes.end()) return wrong(404, "no such class");
+  if (request.method != "POST") return wrong(405, "statements come by POST");
+  call.cls = static_cast<int>(cls - options.classes.begin());
+  for (const char* once : {"x-request-id", "x-timeout-ms", "x-retry"})
+    if (http::count(request.fields, once) > 1) return wrong(400, "a field stands more than once");
+  call.id = http::find(request.fields, "x-request-id");
+  if (!is_id(call.id)) return wrong(400, "X-Request-Id is not 16 hex digits");
+  const TimeUs most = options.patience_us[call.cls] + kPatienceSlackUs;
+  const long long wait = http::whole_number(http::find(request.fields, "x-timeout-ms"), most / 1000);
+  if (wait < kLeastPatienceUs / 1000) return wrong(400, "X-Timeout-Ms is no time that a client may wait");
+  call.patience_us = wait * 1000;
+  if (http::count(request.fields, "x-retry") > 0) {
+    if (http::find(request.fields, "x-retry") != "1") return wrong(400, "X-Retry is not 1");
+    call.repeat = true;
+  }
+  if (request.body.empty()) return wrong(400, "there is no statement");
+  if (!is_text(request.body)) return wrong(400, "the statement is no text");
+  return call;
+}
+
+// One client's connection. Held by its coroutines, its sink and the front's list.
+class Front::Connection : public std::enable_shared_from_this<Front::Connection> {
+ public:
+  enum class Stage { kReading, kOpen, kWriting, kLingering, kClosed };
+
+  Connection(Front& front, std::shared_ptr<rpc::ByteStream> stream)
+      : front_(front), stream_(std::move(stream)), reader_(limits(front.options_)), since_(front.clock_.now()) {}
+
+  static http::ReadLimits limits(const FrontOptions& options) {
+    http::ReadLimits limits;
+    limits.body_bytes = options.statement_bytes;
+    return limits;
+  }
+
+  Stage stage() const { return stage_; }
+  bool silent() const { return stage_ == Stage::kReading && reader_.fresh(); }
+  bool served() const { return calls_ > 0; }
+  TimeUs since() const { return since_; }
+
+  void feed(std::string_view bytes) {
+    switch (stage_) {
+      case Stage::kReading:
+        if (reader_.fresh() && calls_ > 0) since_ = front_.clock_.now();
+        state_ = reader_.feed(bytes);
+        advance();
+        return;
+      case Stage::kOpen:
+      case Stage::kWriting:
+        reader_.feed(bytes);
+        if (reader_.buffered() > kBacklog) close();
+        return;
+      case Stage::kLingering:
+      case Stage::kClosed:
+        return;
+    }
+  }
+
+  // The client is gone.
+  void ended() { close(); }
+
+  void answer(int status, const http::Fields& fields, const std::string& body, bool keep_alive) {
+    ++front_.counts_.answers;
+    keep_alive = keep_alive && !front_.leaving_;
+    stage_ = Stage::kWriting;
+    since_ = front_.clock_.now();
+    boost::asio::co_spawn(
+        front_.net_.executor(),
+        write(shared_from_this(), http::write_response(status, fields, body, keep_alive), keep_alive),
+        boost::asio::detached);
+  }
+
+  void finish(const std::string& rows, const carrier::FinalAnswer& end) {
+    front_.open_ids_.erase(id_);
+    request_ = 0;
+    if (stage_ != Stage::kOpen) return;
+    const http::Fields json = {{"Content-Type", "application/json"}};
+    switch (end.verdict) {
+      case carrier::Verdict::kServed:
+        answer(200, json, "{\"rows\":[" + rows + "]}", keep_alive_);
+        return;
+      case carrier::Verdict::kRefused: {
+        http::Fields fields = json;
+        if (end.retry_after_us > 0)
+          fields.emplace_back("Retry-After-Ms", std::to_string((end.retry_after_us + 999) / 1000));
+        answer(503, fields, failure("Full"), keep_alive_);
+        return;
+      }
+      case carrier::Verdict::kFailed:
+        answer(500, json, failure("Error"), keep_alive_);
+        return;
+    }
+  }
+
+  void close() {
+    if (stage_ == Stage::kClosed) return;
+    stage_ = Stage::kClosed;
+    stream_->close();
+    if (const RequestId id = std::exchange(request_, 0); id != 0) {
+      front_.open_ids_.erase(id_);
+      front_.carrier_.client_left(id);
+    }
+  }
+
+  // What its stage allows has passed.
+  void check(TimeUs now) {
+    switch (stage_) {
+      case Stage::kReading:
+        if (reader_.fresh() && calls_ > 0) {
+          if (now - since_ > kIdleUs) close();
+        } else if (now - since_ > kCallUs) {
+          ++front_.counts_.too_slow;
+          turn_away(408, "no whole call has come in time");
+        }
+        return;
+      case Stage::kWriting:
+        if (now - since_ > kWriteUs) close();
+        return;
+      case Stage::kLingering:
+        if (now - since_ > kLingerUs) close();
+        return;
+      case Stage::kOpen:
+      case Stage::kClosed:
+        return;
+    }
+  }
+
+ private:
+  // Takes the next call, if it has come whole.
+  void advance() {
+    if (stage_ != Stage::kReading || state_ == http::ReadState::kMore) return;
+    if (state_ == http::ReadState::kBad) {
+      ++front_.counts_.unreadable;
+      turn_away(reader_.error_status(), reader_.error());
+      return;
+    }
+    http::Request request = reader_.take();
+    state_ = http::ReadState::kMore;
+    ++calls_;
+    ++front_.counts_.calls;
+    keep_alive_ = request.keep_alive;
+    if (request.target == "/healthz") {
+      const bool get = request.method == "GET";
+      answer(!get ? 405 : front_.leaving_ ? 503 : 200, {}, "", keep_alive_);
+      return;
+    }
+    Call call = read_call(request, front_.options_);
+    if (call.status == 0 && front_.open_ids_.contains(call.id)) {
+      call.status = 409;
+      call.error = "a request of this id is open";
+    }
+    if (call.status != 0) {
+      ++front_.counts_.wrong;
+      answer(call.status, {}, call.error, keep_alive_);
+      return;
+    }
+    take(std::move(call), std::move(request));
+  }
+
+  void take(Call call, http::Request request);
+
+  void turn_away(int status, const char* why) { answer(status, {}, why, false); }
+
+  static rpc::Awaitable<void> write(std::shared_ptr<Connection> self, std::string bytes, bool keep_alive) {
+    const std::shared_ptr<Front*> front = self->front_.self_;
+    const bool whole = co_await rpc::write_all(*self->stream_, std::move(bytes));
+    if (*front == nullptr || self->stage_ != Stage::kWriting) co_return;
+    if (!whole) {
+      self->close();
+      co_return;
+    }
+    self->since_ = self->front_.clock_.now();
+    if (!keep_alive) {
+      // A close while the client still sends would break what it is to read.
+      self->stage_ = Stage::kLingering;
+      self->stream_->end();
+      co_return;
+    }
+    self->stage_ = Stage::kReading;
+    self->state_ = self->reader_.feed({});
+    self->advance();
+  }
+
+  Front& front_;
+  const std::shared_ptr<rpc::ByteStream> stream_;
+  http::RequestReader reader_;
+  http::ReadState state_ = http::ReadState::kMore;
+  Stage stage_ = Stage::kReading;
+  TimeUs since_;  // of the stage; while reading, of the call's first byte
+  uint64_t calls_ = 0;
+  bool keep_alive_ = true;
+  std::string id_;         // of the request that is open
+  RequestId request_ = 0;  // 0: none is, or the carrier has answered already
+};
+
+class Front::Reply : public carrier::ReplySink {
+ public:
+  explicit Reply(std::weak_ptr<Connection> connection) : connection_(std::move(connection)) {}
+  void write(std::string message) override { rows_ += message; }
+  void finish(const carrier::FinalAnswer& answer) override {
+    if (const auto connection = connection_.lock()) connection->finish(rows_, answer);
+  }
+  bool consumes_at_once() const override { return true; }
+
+ private:
+  const std::weak_ptr<Connection> connection_;
+  std::string rows_;
+};
+
+void Front::Connection::take(Call call, http::Request request) {
+  const auto statement = std::make_shared<carrier::Statement>();
+  statement->text = std::move(request.body);
+  statement->client_tag = call.id;
+  QueryRequest query;
+  query.cls = call.cls;
+  query.due_us = front_.clock_.now() + call.patience_us;
+  query.table_group = sql::table_group(statement->text);
+  query.client_repeat = call.repeat;
+  id_ = call.id;
+  front_.open_ids_.insert(id_);
+  stage_ = Stage::kOpen;
+  const RequestId id = front_.carrier_.take(query, statement, std::make_shared<Reply>(weak_from_this()));
+  if (stage_ == Stage::kOpen) request_ = id;
+}
+
+Front::Front(FrontOptions options, carrier::Carrier& carrier, rpc::TcpNet& net, Clock& clock, Log& log)
+    : options_(std::move(options)),
+      carrier_(carrier),
+      net_(net),
+      clock_(clock),
+      log_(log),
+      self_(std::make_shared<Front*>(this)) {
+  sweep();
+}
+
+Front::~Front() { *self_ = nullptr; }
+
+bool Front::quiet() const {
+  return std::none_of(connections_.begin(), connections_.end(), [](const auto& c) {
+    return c->stage() == Connection::Stage::kOpen || c->stage() == Connection::Stage::kWriting;
+  });
+}
+
+// Room for one more: of those without an open call the one that has said nothing for longest goes, then one
+// that was served and is idle.
+void Front::make_room() {
+  if (connections_.size() < options_.connections) return;
+  std::shared_ptr<Connection> victim;
+  int worst = 0;
+  for (const auto& c : connections_) {
+    const int rank = c->stage() == Connection::Stage::kLingering                             ? 4
+                     : c->stage() == Connection::Stage::kReading && !c->served()             ? 3
+                     : c->stage() == Connection::Stage::kReading && c->silent()              ? 2
+                     : c->stage() == Connection::Stage::kReading                             ? 1
+                                                                                             : 0;
+    if (rank > worst || (rank > 0 && rank == worst && c->since() < victim->since())) {
+      worst = rank;
+      victim = c;
+    }
+  }
+  if (!victim) return;
+  ++counts_.evicted;
+  victim->close();
+  connections_.remove(victim);
+}
+
+rpc::Awaitable<void> Front::serve(std::shared_ptr<rpc::ByteStream> stream) {
+  const std::shared_ptr<Front*> self = self_;
+  ++counts_.connections;
+  make_room();
+  if (connections_.size() >= options_.connections) co_return;  // all are at work
+  const auto connection = std::make_shared<Connection>(*this, stream);
+  connections_.push_back(connection);
+  for (;;) {
+    const std::optional<std::string> bytes = co_await stream->read(kPiece);
+    if (*self == nullptr) co_return;
+    if (connection->stage() == Connection::Stage::kClosed) break;
+    if (!bytes || bytes->empty()) break;
+    connection->feed(*bytes);
+    if (connection->stage() == Connection::Stage::kClosed) break;
+  }
+  connection->ended();
+  connections_.remove(connection);
+}
+
+void Front::sweep() {
+  const TimeUs now = clock_.now();
+  for (const auto& c : std::list<std::shared_ptr<Connection>>(connections_)) c->check(now);
+  clock_.call_after(kSweepUs, [self = self_] {
+    if (*self != nullptr) (*self)->sweep();
+  });
+}
+
+}  // namespace sablelink::platform
--- /dev/null
+++ b/src/platform/node_client.cpp
@@ -0,0 +1,551 @@
+#include "platform/node_client.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <cmath>
+#include <cstdlib>
+
+#include "http/message.h"
+#include "platform/pages.h"
+
+namespace sablelink::platform {
+namespace {
+
+constexpr TimeUs kHoldUs = 250'000;         // a node holds a call for news that long
+constexpr TimeUs kForgetUs = 2'000'000;     // a query that nobody asks for that long is let go by its node
+constexpr TimeUs kCallUs = 450'000;         // a call without an answer by then won't get one; beyond any hold
+constexpr TimeUs kSweepUs = 25'000;
+// A connection rests that long after an answer, so that a second copy of it shows before the next call.
+constexpr TimeUs kRestUs = 5'000;
+constexpr int kMostBreaks = 6, kMostDeletes = 4;
+constexpr size_t kPiece = 8 << 10;
+constexpr int kMostPages = 64;
+
+http::ReadLimits read_limits() {
+  http::ReadLimits limits;
+  limits.body_bytes = kPageBytes;
+  return limits;
+}
+
+std::optional<double> number(std::string_view text) {
+  const std::string copy(text);
+  char* stop = nullptr;
+  const double value = std::strtod(copy.c_str(), &stop);
+  if (copy.empty() || *stop != '\0' || !std::isfinite(value) || value < 0) return std::nullopt;
+  return value;
+}
+
+}  // namespace
+
+NodeClient::NodeClient(NodeClientOptions options, rpc::TcpNet& net, Clock& clock, Log& log,
+                       const membership::Directory& directory)
+    : options_(std::move(options)),
+      net_(net),
+      clock_(clock),
+      log_(log),
+      directory_(directory),
+      self_(std::make_shared<NodeClient*>(this)) {
+  sweep();
+}
+
+NodeClient::~NodeClient() {
+  *self_ = nullptr;
+  for (auto& [id, node] : nodes_)
+    for (const ConnectionPtr& c : node->connections) {
+      c->closed = true;
+      c->stream->close();
+    }
+}
+
+NodeClient::NodePtr NodeClient::node_of(EngineId id) {
+  NodePtr& node = nodes_[id];
+  if (!node) {
+    node = std::make_shared<Node>();
+    node->id = id;
+    node->address = directory_.address(id);
+  }
+  return node;
+}
+
+void NodeClient::nodes_changed() {
+  for (auto& [id, node] : nodes_) {
+    node->listed = false;
+    node->state = EngineState::kGone;
+  }
+  listed_ = 0;
+  for (const EngineEntry& entry : directory_.entries()) {
+    const NodePtr node = node_of(entry.engine);
+    node->listed = true;
+    node->state = entry.state;
+    ++listed_;
+  }
+  for (auto it = nodes_.begin(); it != nodes_.end();) {
+    const NodePtr node = (it++)->second;
+    if (!node->listed) close_idle(node->id);
+    dispatch(node);  // starts that wait for one that is leaving end here
+  }
+}
+
+// ---- Attempts ------------------------------------------------------------------------------------------
+
+void NodeClient::start(carrier::AttemptKey key, EngineId engine, const carrier::AttemptOrder& order) {
+  const auto query = std::make_shared<Query>();
+  query->key = key;
+  query->engine = engine;
+  query->order = order;
+  query->made_at = clock_.now();
+  queries_[{key.request, key.number}] = query;
+  const NodePtr node = node_of(engine);
+  ++node->queries;
+  if (!options_.second_copies) {
+    const auto it = leftovers_.find(key.request);
+    if (it != leftovers_.end()) {
+      ++counts_.held_back;
+      it->second.held.push_back(query);
+      return;
+    }
+  }
+  queue(node, {Kind::kPost, query, 0, 0});
+  wake(node, 0);  // what comes of it must not be told within this call
+}
+
+void NodeClient::drop(carrier::AttemptKey key) {
+  const auto it = queries_.find({key.request, key.number});
+  if (it == queries_.end()) return;
+  const QueryPtr query = it->second;
+  forget(query);
+  if (query->asked_at > 0) give_up(query);
+}
+
+void NodeClient::probe(uint32_t probe, EngineId) {
+  // The platform's nodes have no call for it.
+  clock_.call_after(0, [self = self_, probe] {
+    if (*self != nullptr) (*self)->carrier_->probe_ended(probe, Outcome::kConnectFailed, std::nullopt);
+  });
+}
+
+void NodeClient::close_idle(EngineId engine) {
+  const auto it = nodes_.find(engine);
+  if (it == nodes_.end()) return;
+  const NodePtr node = it->second;
+  for (const ConnectionPtr& c : std::list<ConnectionPtr>(node->connections))
+    if (!c->call) close(node, c);
+}
+
+// From here on nothing of it is told to the carrier.
+void NodeClient::forget(const QueryPtr& query) {
+  if (query->over) return;
+  query->over = true;
+  queries_.erase({query->key.request, query->key.number});
+  const NodePtr node = node_of(query->engine);
+  --node->queries;
+  for (auto& calls : node->waiting)
+    std::erase_if(calls, [&](const Call& c) { return c.query == query && c.kind != Kind::kDelete; });
+  const auto left = leftovers_.find(query->key.request);
+  if (left != leftovers_.end()) std::erase(left->second.held, query);
+}
+
+// It may be out there: the node is told, and its request's next attempt waits for the node's word.
+void NodeClient::give_up(const QueryPtr& query) {
+  Leftover& left = leftovers_[query->key.request];
+  left.out.push_back(query);
+  left.until = std::max(left.until, query->asked_at + kForgetUs);
+  const NodePtr node = node_of(query->engine);
+  queue(node, {Kind::kDelete, query, 0, 0});
+  wake(node, 0);
+}
+
+// Nothing of it is out any more.
+void NodeClient::given_up(const QueryPtr& query) {
+  const auto it = leftovers_.find(query->key.request);
+  if (it == leftovers_.end()) return;
+  std::erase(it->second.out, query);
+  if (it->second.out.empty()) release(query->key.request);
+}
+
+void NodeClient::release(RequestId request) {
+  const auto it = leftovers_.find(request);
+  if (it == leftovers_.end()) return;
+  const std::vector<QueryPtr> held = std::move(it->second.held);
+  leftovers_.erase(it);
+  for (const QueryPtr& query : held) {
+    if (query->over) continue;
+    const NodePtr node = node_of(query->engine);
+    queue(node, {Kind::kPost, query, 0, 0});
+    wake(node, 0);
+  }
+}
+
+void NodeClient::end(const QueryPtr& query, Outcome outcome) {
+  if (query->over) return;
+  forget(query);
+  query->result.outcome = outcome;
+  if (outcome != Outcome::kOk) {
+    query->result.work_us.reset();
+    query->result.used_mb.reset();
+  }
+  carrier_->attempt_ended(query->key, query->result);
+}
+
+void NodeClient::whole(const QueryPtr& query) {
+  std::string rows;
+  for (const auto& page : query->pages) {
+    if (page->empty()) continue;
+    if (!rows.empty()) rows += ',';
+    rows += *page;
+  }
+  carrier_->attempt_message(query->key, std::move(rows));
+  end(query, Outcome::kOk);
+}
+
+// ---- Calls ---------------------------------------------------------------------------------------------
+
+void NodeClient::queue(const NodePtr& node, Call call, bool first) {
+  auto& calls = node->waiting[static_cast<int>(call.kind)];
+  if (first)
+    calls.push_front(std::move(call));
+  else
+    calls.push_back(std::move(call));
+}
+
+void NodeClient::wake(const NodePtr& node, TimeUs after) {
+  if (after == 0) {
+    if (node->woken) return;
+    node->woken = true;
+  }
+  clock_.call_after(after, [self = self_, node, after] {
+    if (after == 0) node->woken = false;
+    if (*self != nullptr) (*self)->dispatch(node);
+  });
+}
+
+size_t NodeClient::waiting(const Node& node) const {
+  size_t n = 0;
+  for (const auto& calls : node.waiting) n += calls.size();
+  return n;
+}
+
+// Takes the call that comes first, if there is one that may leave now.
+bool NodeClient::next_call(const NodePtr& node, Call& out) {
+  for (auto& calls : node->waiting) {
+    if (calls.empty()) continue;
+    out = std::move(calls.front());
+    calls.pop_front();
+    return true;
+  }
+  return false;
+}
+
+void NodeClient::dispatch(const NodePtr& node) {
+  // What was decided before the news of its leaving must not start there after it.
+  if (node->state != EngineState::kReady) {
+    auto& starts = node->waiting[static_cast<int>(Kind::kPost)];
+    while (!starts.empty()) {
+      const QueryPtr query = starts.front().query;
+      starts.pop_front();
+      end(query, Outcome::kConnectFailed);
+    }
+  }
+  const TimeUs now = clock_.now();
+  while (waiting(*node) > 0) {
+    ConnectionPtr free;
+    size_t soon = node->dialing;
+    TimeUs first_free = 0;
+    for (const ConnectionPtr& c : node->connections) {
+      if (c->call) continue;
+      if (c->free_at > now) {
+        ++soon;
+        first_free = first_free == 0 ? c->free_at : std::min(first_free, c->free_at);
+      } else if (!free || c->idle_since < free->idle_since) {
+        free = c;  // the one longest at rest
+      }
+    }
+    if (free) {
+      Call call;
+      next_call(node, call);
+      send(node, free, std::move(call));
+      continue;
+    }
+    if (first_free > 0) wake(node, first_free - now);
+    if (soon >= waiting(*node)) break;
+    if (node->connections.size() + node->dialing >= options_.budget.per_node(listed_)) break;
+    if (connections_ >= options_.budget.nodes && !make_room()) break;
+    ++node->dialing;
+    ++connections_;
+    ++counts_.dials;
+    boost::asio::co_spawn(net_.executor(), run_connection(node), boost::asio::detached);
+  }
+}
+
+// Lets go of the connection that has been idle longest, of any node.
+bool NodeClient::make_room() {
+  NodePtr from;
+  ConnectionPtr oldest;
+  for (const auto& [id, node] : nodes_)
+    for (const ConnectionPtr& c : node->connections)
+      if (!c->call && (!oldest || c->idle_since < oldest->idle_since)) oldest = c, from = node;
+  if (!oldest) return false;
+  close(from, oldest);
+  return true;
+}
+
+void NodeClient::send(const NodePtr& node, const ConnectionPtr& connection, Call call) {
+  ++counts_.calls;
+  Query& query = *call.query;
+  const TimeUs now = clock_.now();
+  const std::string& ticket = query.order.statement->client_tag;
+  const std::string target = "/v2/q/" + ticket;
+  std::string bytes;
+  switch (call.kind) {
+    case Kind::kDelete:
+      bytes = http::write_request("DELETE", target, node->address, {});
+      break;
+    case Kind::kPost: {
+      const TimeUs left = std::max<TimeUs>(query.order.allow_us - (now - query.made_at), 1000);
+      http::Fields fields = {{"X-Ticket", ticket},
+                             {"X-Queue", options_.classes[query.order.cls]},
+                             {"X-Max-Ms", std::to_string((left + 999) / 1000)}};
+      if (query.order.priority != 1) fields.emplace_back("Rank", std::to_string(query.order.priority));
+      bytes = http::write_request("POST", "/v2/q", node->address, fields, query.order.statement->text);
+      query.asked_at = now;
+      break;
+    }
+    case Kind::kPage:
+    case Kind::kNews:
+      bytes = http::write_request("GET", target + "/" + std::to_string(call.page), node->address, {});
+      query.asked_at = now;
+      break;
+  }
+  connection->call = std::move(call);
+  connection->due_at = now + kCallUs;
+  boost::asio::co_spawn(net_.executor(), write(connection, std::move(bytes)), boost::asio::detached);
+}
+
+rpc::Awaitable<void> NodeClient::write(ConnectionPtr connection, std::string bytes) {
+  // Not awaited within a condition: GCC 12 takes such a frame apart wrongly.
+  const bool written = co_await rpc::write_all(*connection->stream, std::move(bytes));
+  if (!written) connection->stream->close();  // whoever reads hears of it
+}
+
+rpc::Awaitable<void> NodeClient::run_connection(NodePtr node) {
+  const std::shared_ptr<NodeClient*> self = self_;
+  rpc::ConnectEnd end = rpc::ConnectEnd::kFailed;
+  const std::shared_ptr<rpc::ByteStream> stream =
+      co_await net_.connect(node->address, options_.dial_timeout_us, &end);
+  if (*self == nullptr) co_return;
+  --node->dialing;
+  if (!stream) {
+    --connections_;
+    dial_failed(node, end);
+    co_return;
+  }
+  const auto connection = std::make_shared<Connection>(read_limits());
+  connection->stream = stream;
+  connection->idle_since = clock_.now();
+  node->connections.push_back(connection);
+  dispatch(node);
+  while (!connection->closed) {
+    const std::optional<std::string> bytes = co_await stream->read(kPiece);
+    if (*self == nullptr || connection->closed) co_return;
+    const bool ended = !bytes || bytes->empty();
+    if (!connection->call || (ended && (!bytes || connection->reader.finish() != http::ReadState::kDone))) {
+      lost(node, connection);
+      co_return;
+    }
+    const http::ReadState state = ended ? http::ReadState::kDone : connection->reader.feed(*bytes);
+    if (state == http::ReadState::kBad) {
+      ++counts_.spoilt;
+      lost(node, connection);
+      co_return;
+    }
+    if (state == http::ReadState::kMore) continue;
+    const bool reusable = !ended && !connection->reader.has_rest() && connection->reader.response().keep_alive;
+    const http::Response response = connection->reader.take();
+    Call call = std::move(*connection->call);
+    connection->call.reset();
+    connection->idle_since = clock_.now();
+    connection->free_at = connection->idle_since + kRestUs;
+    if (!reusable) close(node, connection);
+    answered(node, std::move(call), response);
+    if (*self == nullptr) co_return;
+    dispatch(node);
+  }
+}
+
+void NodeClient::close(const NodePtr& node, const ConnectionPtr& connection) {
+  if (connection->closed) return;
+  connection->closed = true;
+  node->connections.remove(connection);
+  --connections_;
+  connection->stream->close();
+}
+
+void NodeClient::lost(const NodePtr& node, const ConnectionPtr& connection) {
+  const bool asked = connection->call.has_value();
+  Call call;
+  if (asked) call = *connection->call;
+  connection->call.reset();
+  close(node, connection);
+  if (asked) {
+    ++counts_.broken;
+    broken(node, std::move(call));
+  }
+  dispatch(node);
+}
+
+// A refusal proves that nothing there runs. Silence proves that what is still to start hasn't started.
+void NodeClient::dial_failed(const NodePtr& node, rpc::ConnectEnd end_of_dial) {
+  const bool dead = end_of_dial == rpc::ConnectEnd::kRefused;
+  ++(dead ? counts_.refused : counts_.dial_timeouts);
+  const auto take = [&](Kind kind) {
+    return std::exchange(node->waiting[static_cast<int>(kind)], {});
+  };
+  if (dead || node->connections.empty())
+    for (const Call& call : take(Kind::kPost)) end(call.query, Outcome::kConnectFailed);
+  if (dead) {
+    for (const Kind kind : {Kind::kPage, Kind::kNews})
+      for (const Call& call : take(kind)) end(call.query, Outcome::kReset);
+    for (const Call& call : take(Kind::kDelete)) given_up(call.query);
+  }
+  if (waiting(*node) > 0) wake(node, kSweepUs);
+}
+
+// ---- Answers -------------------------------------------------------------------------------------------
+
+void NodeClient::answered(const NodePtr& node, Call call, const http::Response& response) {
+  if (call.kind == Kind::kDelete) {
+    given_up(call.query);
+    return;
+  }
+  if (call.query->over) return;
+  const bool good = call.kind == Kind::kPage ? page(node, call, response) : news(node, call, response);
+  if (good) return;
+  ++counts_.spoilt;
+  broken(node, std::move(call));
+}
+
+// False: this is no answer that a node gives.
+bool NodeClient::news(const NodePtr& node, Call& call, const http::Response& response) {
+  const QueryPtr query = call.query;
+  const bool shed = http::find(response.fields, "x-shed") == "1";
+  if (const auto report = read_meter(http::find(response.fields, "x-meter"))) query->result.report = report;
+  switch (response.status) {
+    case 202: {
+      query->breaks = 0;
+      query->doubtful = false;
+      const std::string_view remark = http::find(response.fields, "x-remark");
+      const std::optional<double> figure = number(http::find(response.fields, "figure"));
+      queue(node, {Kind::kNews, query, 0, 0});
+      if (figure && remark == "done") carrier_->attempt_note(query->key, NoteKind::kProgress, *figure);
+      if (figure && remark == "spills") carrier_->attempt_note(query->key, NoteKind::kSpill, *figure);
+      if (figure && remark == "waits") carrier_->attempt_note(query->key, NoteKind::kWait, *figure);
+      return true;
+    }
+    case 200: {
+      const long long pages = http::whole_number(http::find(response.fields, "page-count"), kMostPages);
+      std::optional<std::string> rows = rows_of(response.body);
+      const std::optional<double> work = number(http::find(response.fields, "work-ms"));
+      const std::optional<double> memory = number(http::find(response.fields, "peak-mb"));
+      if (pages < 1 || !rows) return false;
+      query->breaks = 0;
+      if (work && *work > 0) query->result.work_us = *work * 1000;
+      if (memory && *memory > 0) query->result.used_mb = *memory;
+      query->pages.assign(pages, std::nullopt);
+      query->pages[0] = std::move(rows);
+      query->pages_missing = pages - 1;
+      if (query->pages_missing == 0) {
+        whole(query);
+        return true;
+      }
+      for (int i = 1; i < pages; ++i) queue(node, {Kind::kPage, query, i, 0});
+      return true;
+    }
+    case 503:
+      if (!shed) return false;
+      end(query, Outcome::kFull);
+      return true;
+    case 504:
+      if (!shed) return false;
+      end(query, Outcome::kFull);  // it never ran: a time-out would say that it may
+      return true;
+    case 500:
+      end(query, query->doubtful ? Outcome::kReset : Outcome::kError);
+      return true;
+    default:
+      return false;
+  }
+}
+
+bool NodeClient::page(const NodePtr&, Call& call, const http::Response& response) {
+  const QueryPtr query = call.query;
+  if (response.status == 500) {
+    end(query, Outcome::kError);
+    return true;
+  }
+  if (response.status != 200) return false;
+  if (http::whole_number(http::find(response.fields, "page-no"), kMostPages) != call.page) return false;
+  std::optional<std::string> rows = rows_of(response.body);
+  if (!rows) return false;
+  query->breaks = 0;
+  std::optional<std::string>& place = query->pages[call.page];
+  if (place) return true;
+  place = std::move(rows);
+  if (--query->pages_missing == 0) whole(query);
+  return true;
+}
+
+// The call came to nothing, whatever the node made of it.
+void NodeClient::broken(const NodePtr& node, Call call) {
+  const QueryPtr query = call.query;
+  if (call.kind == Kind::kDelete) {
+    if (++call.tries < kMostDeletes) queue(node, std::move(call), true);
+    return;  // else the node lets go by itself, as the sweep will find
+  }
+  if (query->over) return;
+  if (call.kind == Kind::kPost) {
+    query->doubtful = true;
+    call.kind = Kind::kNews;  // whether it has begun is for the node to say
+  }
+  if (++query->breaks > kMostBreaks) {
+    give_up(query);  // before the carrier hears of it: the next attempt has to wait
+    end(query, Outcome::kReset);
+    return;
+  }
+  queue(node, std::move(call), true);
+}
+
+// ---- Times ---------------------------------------------------------------------------------------------
+
+void NodeClient::sweep() {
+  const TimeUs now = clock_.now();
+  for (auto it = nodes_.begin(); it != nodes_.end();) {
+    const NodePtr node = (it++)->second;
+    for (const ConnectionPtr& c : std::list<ConnectionPtr>(node->connections)) {
+      if (c->closed) continue;
+      if (c->call && now >= c->due_at) {
+        ++counts_.overdue;
+        lost(node, c);
+      } else if (!c->call && now - c->idle_since > options_.idle_close_us * 3 / 5) {
+        close(node, c);
+      }
+    }
+    if (!node->listed && node->queries == 0 && node->connections.empty() && node->dialing == 0 &&
+        waiting(*node) == 0)
+      nodes_.erase(node->id);
+  }
+  // Asked for by nobody for so long, a query is no more, wherever its node may be.
+  std::vector<QueryPtr> silent;
+  for (const auto& [key, query] : queries_)
+    if (query->asked_at > 0 && now - query->asked_at > kForgetUs) silent.push_back(query);
+  for (const QueryPtr& query : silent) end(query, Outcome::kReset);
+  std::vector<RequestId> over;
+  for (const auto& [request, left] : leftovers_)
+    if (now >= left.until) over.push_back(request);
+  for (const RequestId request : over) release(request);
+  clock_.call_after(kSweepUs, [self = self_] {
+    if (*self != nullptr) (*self)->sweep();
+  });
+}
+
+}  // namespace sablelink::platform
--- /dev/null
+++ b/src/platform/node_client.h
@@ -0,0 +1,158 @@
+// Sends attempts to nodes by the platform's protocol. A query doesn't belong to a connection: what a broken
+// connection was asked for is asked for again on another, and only what the node itself tells, or its death,
+// ends an attempt.
+//
+// Each node has a few connections, one call at a time on each. Calls wait by kind: giving up, starting, pages,
+// news. An attempt that may still be out there holds back the next one of its request until the node has
+// confirmed that it is given up, or must have let go of it by itself.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "carrier/carrier.h"
+#include "http/reader.h"
+#include "membership/directory.h"
+#include "platform/descriptors.h"
+#include "rpc/tcp_stream.h"
+
+namespace sablelink::platform {
+
+struct NodeClientOptions {
+  DescriptorBudget budget;
+  TimeUs dial_timeout_us = 250'000;
+  TimeUs idle_close_us = 15'000'000;  // of the nodes; connections are let go of well before
+  bool second_copies = false;         // more than one attempt of a request may be out
+  std::vector<std::string> classes;
+};
+
+struct NodeClientCounts {
+  uint64_t dials = 0, refused = 0, dial_timeouts = 0;
+  uint64_t calls = 0, broken = 0, spoilt = 0, overdue = 0;  // broken: by the connection's end
+  uint64_t held_back = 0;                                   // attempts that waited for an earlier one
+};
+
+// On the net's loop alone. The carrier must outlive every attempt, the client its loop's last turn.
+class NodeClient : public carrier::NodeTransport {
+ public:
+  NodeClient(NodeClientOptions options, rpc::TcpNet& net, Clock& clock, Log& log,
+             const membership::Directory& directory);
+  ~NodeClient() override;
+  void set_carrier(carrier::Carrier* carrier) { carrier_ = carrier; }
+
+  // The directory has changed.
+  void nodes_changed();
+
+  void start(carrier::AttemptKey key, EngineId engine, const carrier::AttemptOrder& order) override;
+  void drop(carrier::AttemptKey key) override;
+  void resume(carrier::AttemptKey) override {}  // a whole answer is passed on at once
+  void probe(uint32_t probe, EngineId engine) override;
+  void close_idle(EngineId engine) override;
+
+  const NodeClientCounts& counts() const { return counts_; }
+  size_t queries() const { return queries_.size(); }
+  size_t connections() const { return connections_; }
+
+ private:
+  struct Query {
+    carrier::AttemptKey key;
+    EngineId engine = 0;
+    carrier::AttemptOrder order;
+    TimeUs made_at = 0;
+    TimeUs asked_at = 0;  // a call for it left last; 0: none has, and none may have reached the node
+    bool over = false;
+    int breaks = 0;  // calls in a row that came to nothing
+    bool doubtful = false;  // its start broke off: it is not known to have arrived
+    carrier::AttemptResult result;
+    std::vector<std::optional<std::string>> pages;  // rows
+    size_t pages_missing = 0;
+  };
+  using QueryPtr = std::shared_ptr<Query>;
+  enum class Kind { kDelete, kPost, kPage, kNews };
+  struct Call {
+    Kind kind = Kind::kNews;
+    QueryPtr query;
+    int page = 0;
+    int tries = 0;
+  };
+  struct Connection {
+    std::shared_ptr<rpc::ByteStream> stream;
+    http::ResponseReader reader;
+    std::optional<Call> call;
+    TimeUs due_at = 0;       // of the call
+    TimeUs free_at = 0;      // takes no call before
+    TimeUs idle_since = 0;
+    bool closed = false;
+    explicit Connection(const http::ReadLimits& limits) : reader(limits) {}
+  };
+  using ConnectionPtr = std::shared_ptr<Connection>;
+  struct Node {
+    EngineId id = 0;
+    std::string address;
+    EngineState state = EngineState::kGone;
+    bool listed = false;
+    std::deque<Call> waiting[4];  // by kind
+    std::list<ConnectionPtr> connections;
+    size_t dialing = 0;
+    size_t queries = 0;
+    bool woken = false;  // a dispatch is to come
+  };
+  using NodePtr = std::shared_ptr<Node>;
+  // Attempts of a request that may still be out, though nobody waits for them.
+  struct Leftover {
+    std::vector<QueryPtr> out;  // whose nodes' word is waited for
+    TimeUs until = 0;           // the nodes have let go by then
+    std::vector<QueryPtr> held;
+  };
+
+  rpc::Awaitable<void> run_connection(NodePtr node);
+  rpc::Awaitable<void> write(ConnectionPtr connection, std::string bytes);
+  NodePtr node_of(EngineId id);
+  void queue(const NodePtr& node, Call call, bool first = false);
+  void dispatch(const NodePtr& node);
+  void wake(const NodePtr& node, TimeUs after);
+  bool next_call(const NodePtr& node, Call& out);
+  size_t waiting(const Node& node) const;
+  void send(const NodePtr& node, const ConnectionPtr& connection, Call call);
+  void close(const NodePtr& node, const ConnectionPtr& connection);
+  void lost(const NodePtr& node, const ConnectionPtr& connection);
+  void dial_failed(const NodePtr& node, rpc::ConnectEnd end);
+  bool make_room();
+  void answered(const NodePtr& node, Call call, const http::Response& response);
+  bool news(const NodePtr& node, Call& call, const http::Response& response);
+  bool page(const NodePtr& node, Call& call, const http::Response& response);
+  void broken(const NodePtr& node, Call call);
+  void whole(const QueryPtr& query);
+  void end(const QueryPtr& query, Outcome outcome);
+  void forget(const QueryPtr& query);
+  void give_up(const QueryPtr& query);
+  void given_up(const QueryPtr& query);
+  void release(RequestId request);
+  void sweep();
+
+  const NodeClientOptions options_;
+  rpc::TcpNet& net_;
+  Clock& clock_;
+  Log& log_;
+  const membership::Directory& directory_;
+  carrier::Carrier* carrier_ = nullptr;
+  std::map<EngineId, NodePtr> nodes_;
+  std::map<std::pair<RequestId, int>, QueryPtr> queries_;
+  std::map<RequestId, Leftover> leftovers_;
+  size_t connections_ = 0;  // with those being dialled
+  size_t listed_ = 0;
+  NodeClientCounts counts_;
+  std::shared_ptr<NodeClient*> self_;  // coroutines and calls that outlive the client find it empty
+};
+
+}  // namespace sablelink::platform
--- /dev/null
+++ b/src/platform/pages.h
@@ -0,0 +1,26 @@
+// Pages of a node's result as rows of a client's answer. Pure.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "gateway.h"
+
+namespace sablelink::platform {
+
+constexpr size_t kPageBytes = 6'000;     // a page holds no more
+constexpr size_t kResultBytes = 48'000;  // nor a whole result
+constexpr int kColumns = 3;
+
+// Rows of JSON, ["a","b","c"],["d",...], of a page's text: columns between tabs, a line feed after each row.
+// Nothing where the text is no page: it has been spoilt on its way.
+std::optional<std::string> rows_of(std::string_view page);
+
+// Whether a text is UTF-8 without control characters but tab and line ends.
+bool is_text(std::string_view text);
+
+// A load report as "inflight:7;util:0.61". Values that can't be read are left out; none at all: nothing.
+std::optional<LoadReport> read_meter(std::string_view text);
+
+}  // namespace sablelink::platform
--- a/src/rpc/grpc_loop.h
+++ b/src/rpc/grpc_loop.h
@@ -26,9 +26,6 @@
 
 namespace sablelink::rpc {
 
-using WallClock = std::function<std::chrono::system_clock::time_point()>;
-using SteadyClock = std::function<std::chrono::steady_clock::time_point()>;
-
 // now() may be called from any thread: microseconds since 1970 at the loop's making, advanced by the steady
 // clock. call_after() and all that uses the executor belong on the loop's thread; a call comes up to a
 // millisecond late, which is the step of gRPC's own waiting. Other threads come in by post() and run().
--- a/src/rpc/tcp_stream.cpp
+++ b/src/rpc/tcp_stream.cpp
@@ -3,12 +3,15 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/dispatch.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <stdexcept>
 #include <utility>
 
 #include "base/signal.h"
+#include "rpc/asio_loop.h"
 
 namespace sablelink::rpc {
 
@@ -19,6 +22,7 @@
 namespace {
 
 constexpr size_t kPiece = 64 << 10;  // most bytes of one read or write
+constexpr auto kAcceptPause = std::chrono::milliseconds(20);  // after an accept that failed: no busy loop
 
 // Numbers alone: names are resolved by whoever configures addresses.
 tcp::endpoint endpoint_of(const std::string& address) {
@@ -57,7 +61,7 @@
   Awaitable<std::optional<std::string>> read(size_t most) override {
     const auto op = std::make_shared<Operation>();
     op->bytes.resize(std::clamp<size_t>(most, 1, kPiece));
-    asio::post(context_, [self = shared_from_this(), op] {
+    asio::dispatch(context_, [self = shared_from_this(), op] {
       self->socket_.async_read_some(asio::buffer(op->bytes), self->over(op));
     });
     co_await op->done.wait();
@@ -70,7 +74,7 @@
   Awaitable<size_t> write(std::string_view bytes) override {
     const auto op = std::make_shared<Operation>();
     op->bytes = bytes.substr(0, kPiece);
-    asio::post(context_, [self = shared_from_this(), op] {
+    asio::dispatch(context_, [self = shared_from_this(), op] {
       self->socket_.async_write_some(asio::buffer(op->bytes), self->over(op));
     });
     co_await op->done.wait();
@@ -78,7 +82,7 @@
   }
 
   void end() override {
-    asio::post(context_, [self = shared_from_this()] {
+    asio::dispatch(context_, [self = shared_from_this()] {
       error_code ignored;
       self->ended_ = true;
       self->socket_.shutdown(tcp::socket::shutdown_send, ignored);
@@ -86,7 +90,7 @@
   }
 
   void close() override {
-    asio::post(context_, [self = shared_from_this()] { self->shut(); });
+    asio::dispatch(context_, [self = shared_from_this()] { self->shut(); });
   }
 
   // ---- On the context's thread
@@ -142,7 +146,7 @@
 class TcpNet::Acceptor : public std::enable_shared_from_this<TcpNet::Acceptor> {
  public:
   Acceptor(TcpNet& net, const tcp::endpoint& at, StreamHandler handler)
-      : net_(net), acceptor_(net.context_, at), handler_(std::move(handler)) {}
+      : net_(net), acceptor_(net.context_, at), pause_(net.context_), handler_(std::move(handler)) {}
   int port() const { return acceptor_.local_endpoint().port(); }
   void close() {
     error_code ignored;
@@ -152,8 +156,16 @@
     const auto socket = std::make_shared<Socket>(net_.context_, net_.strand_.post);
     acceptor_.async_accept(socket->raw(), [self = shared_from_this(), socket](error_code error) {
       if (self->net_.ending_ || error == asio::error::operation_aborted) return;
-      if (!error) self->serve(socket);
-      self->accept();
+      if (!error) {
+        self->serve(socket);
+        self->accept();
+        return;
+      }
+      // Out of descriptors, most likely: who waits to be accepted keeps waiting until there are some.
+      self->pause_.expires_after(kAcceptPause);
+      self->pause_.async_wait([self](error_code) {
+        if (!self->net_.ending_ && self->acceptor_.is_open()) self->accept();
+      });
     });
   }
 
@@ -173,25 +185,49 @@
 
   TcpNet& net_;
   tcp::acceptor acceptor_;
+  asio::steady_timer pause_;
   const StreamHandler handler_;
 };
 
 TcpNet::TcpNet(Strand strand)
-    : strand_(std::move(strand)), guard_(context_.get_executor()), thread_([this] { context_.run(); }) {}
+    : strand_(std::move(strand)),
+      own_(std::make_unique<asio::io_context>()),
+      context_(*own_),
+      guard_(context_.get_executor()),
+      thread_([this] { context_.run(); }) {}
+
+TcpNet::TcpNet(AsioLoop& loop)
+    : strand_{loop.executor(), [](const std::function<void()>& fn) { fn(); }, loop}, context_(loop.context()) {}
 
 TcpNet::~TcpNet() {
-  asio::post(context_, [this] {
-    ending_ = true;
-    for (const auto& acceptor : acceptors_) acceptor->close();
-    for (const auto& weak : sockets_)
-      if (const std::shared_ptr<Socket> socket = weak.lock()) socket->shut();
-  });
+  if (!own_) {
+    close_all();
+    return;
+  }
+  asio::post(context_, [this] { close_all(); });
   guard_.reset();
   thread_.join();
 }
 
+void TcpNet::close_all() {
+  ending_ = true;
+  for (const auto& acceptor : acceptors_) acceptor->close();
+  for (const auto& weak : sockets_)
+    if (const std::shared_ptr<Socket> socket = weak.lock()) socket->shut();
+}
+
+void TcpNet::stop_listening() {
+  asio::dispatch(context_, [this] {
+    for (const auto& acceptor : acceptors_) acceptor->close();
+  });
+}
+
 void TcpNet::keep(const std::shared_ptr<Socket>& socket) {
-  std::erase_if(sockets_, [](const auto& weak) { return weak.expired(); });
+  // Looked through once it has doubled: at each new socket would be the square of their number.
+  if (sockets_.size() >= swept_at_) {
+    std::erase_if(sockets_, [](const auto& weak) { return weak.expired(); });
+    swept_at_ = std::max<size_t>(64, 2 * sockets_.size());
+  }
   sockets_.push_back(socket);
 }
 
@@ -204,19 +240,19 @@
     throw std::runtime_error("can't listen at " + address + ": " + e.code().message());
   }
   const int port = acceptor->port();
-  asio::post(context_, [this, acceptor] {
+  asio::dispatch(context_, [this, acceptor] {
     acceptors_.push_back(acceptor);
     acceptor->accept();
   });
   return port;
 }
 
-Awaitable<std::shared_ptr<ByteStream>> TcpNet::connect(std::string address, TimeUs within) {
+Awaitable<std::shared_ptr<ByteStream>> TcpNet::connect(std::string address, TimeUs within, ConnectEnd* end) {
   const tcp::endpoint to = endpoint_of(address);
   const auto socket = std::make_shared<Socket>(context_, strand_.post);
   const auto op = std::make_shared<Socket::Operation>();
   const auto over = std::make_shared<bool>(false);
-  asio::post(context_, [this, socket, op, to] {
+  asio::dispatch(context_, [this, socket, op, to] {
     keep(socket);
     socket->connect(to, op);
   });
@@ -226,8 +262,14 @@
   });
   co_await op->done.wait();
   *over = true;
+  if (end != nullptr)
+    *end = !op->error                                       ? ConnectEnd::kConnected
+           : op->error == asio::error::connection_refused   ? ConnectEnd::kRefused
+           : op->error == asio::error::operation_aborted ||
+                   op->error == asio::error::timed_out      ? ConnectEnd::kTimeout
+                                                            : ConnectEnd::kFailed;
   if (op->error) co_return nullptr;
-  asio::post(context_, [socket] { socket->set_up(); });
+  asio::dispatch(context_, [socket] { socket->set_up(); });
   co_return std::make_shared<Held>(socket);
 }
 
--- a/src/rpc/tcp_stream.h
+++ b/src/rpc/tcp_stream.h
@@ -1,5 +1,5 @@
-// Byte streams on TCP sockets. Sockets are waited for on a thread of their own, since the loop of gRPC waits
-// in gRPC; what comes is handed to the strand.
+// Byte streams on TCP sockets. Beside gRPC's loop, which waits in gRPC, sockets are waited for on a thread of
+// their own, and what comes is handed to the strand; an AsioLoop waits for them itself.
 #pragma once
 
 #include <boost/asio/any_io_executor.hpp>
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -23,19 +24,31 @@
   Clock& clock;
 };
 
+class AsioLoop;
+
+// Why a connection didn't come about.
+enum class ConnectEnd { kConnected, kRefused, kTimeout, kFailed };
+
 class TcpNet {
  public:
   explicit TcpNet(Strand strand);
-  // Closes every socket and waits until whoever waited for one was told. Not on the strand.
+  // On the loop's own thread, with no other. Made and ended while the loop doesn't run, or on it.
+  explicit TcpNet(AsioLoop& loop);
+  // Closes every socket. With a thread of its own it waits until whoever waited for one was told, and must not
+  // be on the strand; on an AsioLoop they are told as that runs on.
   ~TcpNet();
   TcpNet(const TcpNet&) = delete;
   TcpNet& operator=(const TcpNet&) = delete;
 
+  const boost::asio::any_io_executor& executor() const { return strand_.executor; }
   // Serves connections at host:port, port 0 for any, from now until the net's end; the port. Throws
   // std::runtime_error with the address where that can't be.
   int listen(const std::string& address, StreamHandler handler);
-  // Nothing where no connection came about within the time.
-  Awaitable<std::shared_ptr<ByteStream>> connect(std::string address, TimeUs within);
+  // Takes no further connections; those that stand stay.
+  void stop_listening();
+  // Nothing where no connection came about within the time; end tells why.
+  Awaitable<std::shared_ptr<ByteStream>> connect(std::string address, TimeUs within,
+                                                 ConnectEnd* end = nullptr);
 
  private:
   class Socket;
@@ -44,11 +57,15 @@
   // To be closed at the end, if it is still there; on the context's thread.
   void keep(const std::shared_ptr<Socket>& socket);
 
+  void close_all();
+
   const Strand strand_;
-  boost::asio::io_context context_;
-  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> guard_;
+  std::unique_ptr<boost::asio::io_context> own_;  // with its thread; none on an AsioLoop
+  boost::asio::io_context& context_;
+  std::optional<boost::asio::executor_work_guard<boost::asio::io_context::executor_type>> guard_;
   bool ending_ = false;  // these three on the context's thread
   std::vector<std::weak_ptr<Socket>> sockets_;
+  size_t swept_at_ = 64;
   std::vector<std::shared_ptr<Acceptor>> acceptors_;
   std::thread thread_;
 };
--- /dev/null
+++ b/src/service/platform_service.h
@@ -0,0 +1,61 @@
+// A gateway on the users' platform: carrier, front, node client and change log put together on one loop, with
+// their start, reload and end.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "carrier/carrier.h"
+#include "membership/directory.h"
+#include "platform/change_log.h"
+#include "platform/config.h"
+#include "platform/front.h"
+#include "platform/node_client.h"
+#include "rpc/asio_loop.h"
+#include "rpc/tcp_stream.h"
+#include "service/runtime.h"
+
+namespace sablelink::service {
+
+class PlatformService {
+ public:
+  // Listens at once; serves in run(). Throws std::runtime_error where the address can't be had.
+  PlatformService(platform::PlatformConfig config, const System& system);
+  ~PlatformService();
+
+  // Serves until stop() has done its work; the calling thread is the loop's.
+  void run() { loop_.run(); }
+  rpc::AsioLoop& loop() { return loop_; }
+  int port() const { return port_; }
+
+  // On the loop: takes the change log's address of a new configuration over.
+  void reload(const platform::PlatformConfig& config);
+  // On the loop: goes on with what is held and with what clients still send for a while, then ends run().
+  void stop();
+
+  const carrier::Carrier& carrier() const { return *carrier_; }
+  const platform::Front& front() const { return *front_; }
+  const platform::NodeClient& nodes() const { return *nodes_; }
+
+ private:
+  class Lists;
+
+  void told(const std::vector<config::NodeConfig>& nodes);
+  void end_when_quiet();
+
+  const platform::PlatformConfig config_;
+  std::unique_ptr<Log> log_;
+  rpc::AsioLoop loop_;
+  std::unique_ptr<rpc::TcpNet> net_;
+  membership::Directory directory_;
+  std::unique_ptr<Lists> lists_;
+  std::unique_ptr<platform::NodeClient> nodes_;
+  std::unique_ptr<carrier::Carrier> carrier_;
+  std::unique_ptr<platform::Front> front_;
+  std::unique_ptr<platform::ChangeLog> changes_;
+  int port_ = 0;
+  bool started_ = false, stopping_ = false;
+};
+
+}  // namespace sablelink::service
--- a/src/service/runtime.h
+++ b/src/service/runtime.h
@@ -12,8 +12,8 @@
 
 // What main alone may ask the system for.
 struct System {
-  rpc::WallClock wall;
-  rpc::SteadyClock steady;
+  WallClock wall;
+  SteadyClock steady;
   std::function<uint64_t()> random;
 };
 
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -218,4 +218,15 @@
   return v ? split_list(*v) : std::vector<std::string>();
 }
 
+bool set_report_value(LoadReport& report, std::string_view field, double value) {
+  std::optional<double>* const target = field == "concurrent" || field == "inflight" ? &report.held
+                                        : field == "depth" || field == "queue"       ? &report.waiting
+                                        : field == "load_share" || field == "util"   ? &report.cpu_share
+                                        : field == "x0"                              ? &report.memory_share
+                                        : field == "x1"                              ? &report.disk_share
+                                                                                     : nullptr;
+  if (target != nullptr) *target = value;
+  return target != nullptr;
+}
+
 }  // namespace sablelink
--- a/tests/transport_test.cpp
+++ b/tests/transport_test.cpp
@@ -74,10 +74,10 @@
   }
 
  private:
-  static rpc::WallClock wall() {
+  static WallClock wall() {
     return [] { return std::chrono::system_clock::now(); };
   }
-  static rpc::SteadyClock steady() {
+  static SteadyClock steady() {
     return [] { return std::chrono::steady_clock::now(); };
   }
   rpc::GrpcLoop server_loop_, client_loop_;
