--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -162,6 +162,7 @@
     });
   };
   wait();
+  say_ready();
   gateway.run();
   return 0;
 }
--- a/src/platform/change_log.cpp
+++ b/src/platform/change_log.cpp
@@ -89,8 +89,17 @@
   return out;
 }
 
-ChangeLog::ChangeLog(rpc::TcpNet& net, Clock& clock, Log& log, Told told)
-    : net_(net), clock_(clock), log_(log), told_(std::move(told)) {}
+ChangeLog::ChangeLog(rpc::Dialer& net, Clock& clock, Log& log, Told told)
+    : net_(net),
+      clock_(clock),
+      log_(log),
+      told_(std::move(told)),
+      self_(std::make_shared<ChangeLog*>(this)) {}
+
+ChangeLog::~ChangeLog() {
+  *self_ = nullptr;
+  if (stream_) stream_->close();
+}
 
 void ChangeLog::apply(const std::function<void(const std::function<void(const ChangeEvent&)>&)>& source) {
   bool changed = false;
@@ -114,13 +123,15 @@
 }
 
 rpc::Awaitable<void> ChangeLog::follow(uint64_t life, std::string address) {
+  const std::shared_ptr<ChangeLog*> self = self_;
+  const auto over = [&] { return *self == nullptr || life != life_; };
   TimeUs rest = 0;
-  while (life == life_) {
+  while (true) {
     if (rest > 0) co_await pause(clock_, rest);
-    if (life != life_) co_return;
+    if (over()) co_return;
     rest = std::clamp(rest * 2, kFirstPauseUs, kMostPauseUs);
     const std::shared_ptr<rpc::ByteStream> stream = co_await net_.connect(address, kDialUs);
-    if (life != life_) co_return;
+    if (over()) co_return;
     if (!stream) continue;
     // From here on this connection is the one: whatever an earlier one still tells is known by number.
     if (stream_) stream_->close();
@@ -128,26 +139,28 @@
     sequence_->begin();
     const std::string ask = "since " + std::to_string(sequence_->last()) + "\n";
     const bool asked = co_await rpc::write_all(*stream, ask);
+    if (over()) co_return;
     if (!asked) continue;
     log_.info("changelog_asked", {{"address", address}, {"since", std::to_string(sequence_->last())}});
     // Nothing for longer than a heartbeat allows: the log has stopped, though its connection stands.
     const auto heard = std::make_shared<TimeUs>(clock_.now());
     const auto watch = std::make_shared<std::function<void()>>();
-    *watch = [this, weak = std::weak_ptr<rpc::ByteStream>(stream), heard,
+    *watch = [self, weak = std::weak_ptr<rpc::ByteStream>(stream), heard,
               again = std::weak_ptr<std::function<void()>>(watch)] {
       const auto s = weak.lock();
-      const auto self = again.lock();
-      if (!s || !self) return;
-      const TimeUs left = *heard + kSilenceUs - clock_.now();
+      const auto next = again.lock();
+      if (!s || !next || *self == nullptr) return;
+      Clock& clock = (*self)->clock_;
+      const TimeUs left = *heard + kSilenceUs - clock.now();
       if (left <= 0)
         s->close();
       else
-        clock_.call_after(left, [self] { (*self)(); });
+        clock.call_after(left, [next] { (*next)(); });
     };
     (*watch)();
     for (;;) {
       const std::optional<std::string> bytes = co_await stream->read(kPiece);
-      if (life != life_) co_return;
+      if (over()) co_return;
       if (!bytes || bytes->empty()) break;
       *heard = clock_.now();
       rest = 0;
--- a/src/platform/change_log.h
+++ b/src/platform/change_log.h
@@ -12,7 +12,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "platform/config.h"
-#include "rpc/tcp_stream.h"
+#include "rpc/byte_stream.h"
 
 namespace sablelink::platform {
 
@@ -55,27 +55,26 @@
 };
 
 // The connection: asks for what is missing, again after each break and wherever nothing has come for longer
-// than the log's heartbeat allows. On the net's loop alone.
+// than the log's heartbeat allows. On the net's strand alone.
 class ChangeLog {
  public:
   using Told = std::function<void(const std::vector<config::NodeConfig>&)>;
 
-  // told is called with the whole list after each change. All must outlive the log and its coroutine, which
-  // ends after stop().
-  ChangeLog(rpc::TcpNet& net, Clock& clock, Log& log, Told told);
+  // told is called with the whole list after each change.
+  ChangeLog(rpc::Dialer& net, Clock& clock, Log& log, Told told);
+  ~ChangeLog();
 
   // Begins with the events that the configuration holds.
   void start(const PlatformConfig& config);
   // Goes on at another address; the numbers continue.
   void move(const PlatformConfig& config);
-  void stop() { ++life_; }
 
  private:
   rpc::Awaitable<void> follow(uint64_t life, std::string address);
   void apply(const std::function<void(const std::function<void(const ChangeEvent&)>&)>& source);
   void spawn(const std::string& address);
 
-  rpc::TcpNet& net_;
+  rpc::Dialer& net_;
   Clock& clock_;
   Log& log_;
   const Told told_;
@@ -83,6 +82,7 @@
   NodeList list_;
   std::shared_ptr<rpc::ByteStream> stream_;  // the connection that is followed now
   uint64_t life_ = 0;                        // a follower of an earlier one ends
+  std::shared_ptr<ChangeLog*> self_;         // coroutines that outlive the log find it empty
 };
 
 }  // namespace sablelink::platform
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -15,6 +15,7 @@
 constexpr TimeUs kIdleUs = 5'000'000;    // clients close idle connections after 4 s; some never do
 constexpr TimeUs kWriteUs = 5'000'000;   // a client that takes no answer for so long is gone
 constexpr TimeUs kLingerUs = 1'000'000;  // for a client to read why it is turned away, while it still sends
+constexpr size_t kLingerBytes = 256 << 10;  // what it sends beyond that isn't read
 constexpr TimeUs kSweepUs = 100'000;
 constexpr TimeUs kLeastPatienceUs = 1'000;
 constexpr TimeUs kPatienceSlackUs = 1'000'000;  // over the class's patience, before a wait is out of range
@@ -95,6 +96,9 @@
         if (reader_.buffered() > kBacklog) close();
         return;
       case Stage::kLingering:
+        lingered_ += bytes.size();
+        if (lingered_ > kLingerBytes) close();
+        return;
       case Stage::kClosed:
         return;
     }
@@ -232,6 +236,7 @@
   Stage stage_ = Stage::kReading;
   TimeUs since_;  // of the stage; while reading, of the call's first byte
   uint64_t calls_ = 0;
+  size_t lingered_ = 0;  // bytes read of a client that has been turned away
   bool keep_alive_ = true;
   std::string id_;         // of the request that is open
   RequestId request_ = 0;  // 0: none is, or the carrier has answered already
@@ -267,7 +272,7 @@
   if (stage_ == Stage::kOpen) request_ = id;
 }
 
-Front::Front(FrontOptions options, carrier::Carrier& carrier, rpc::TcpNet& net, Clock& clock, Log& log)
+Front::Front(FrontOptions options, carrier::Carrier& carrier, rpc::Dialer& net, Clock& clock, Log& log)
     : options_(std::move(options)),
       carrier_(carrier),
       net_(net),
--- a/src/platform/front.h
+++ b/src/platform/front.h
@@ -14,7 +14,7 @@
 #include "base/log.h"
 #include "carrier/carrier.h"
 #include "http/reader.h"
-#include "rpc/tcp_stream.h"
+#include "rpc/byte_stream.h"
 
 namespace sablelink::platform {
 
@@ -42,10 +42,10 @@
 };
 Call read_call(const http::Request& request, const FrontOptions& options);
 
-// On the net's loop alone.
+// On the net's strand alone.
 class Front {
  public:
-  Front(FrontOptions options, carrier::Carrier& carrier, rpc::TcpNet& net, Clock& clock, Log& log);
+  Front(FrontOptions options, carrier::Carrier& carrier, rpc::Dialer& net, Clock& clock, Log& log);
   ~Front();
 
   rpc::Awaitable<void> serve(std::shared_ptr<rpc::ByteStream> stream);
@@ -66,7 +66,7 @@
 
   const FrontOptions options_;
   carrier::Carrier& carrier_;
-  rpc::TcpNet& net_;
+  rpc::Dialer& net_;
   Clock& clock_;
   Log& log_;
   std::list<std::shared_ptr<Connection>> connections_;  // oldest first
--- a/src/platform/node_client.cpp
+++ b/src/platform/node_client.cpp
@@ -38,7 +38,7 @@
 
 }  // namespace
 
-NodeClient::NodeClient(NodeClientOptions options, rpc::TcpNet& net, Clock& clock, Log& log,
+NodeClient::NodeClient(NodeClientOptions options, rpc::Dialer& net, Clock& clock, Log& log,
                        const membership::Directory& directory)
     : options_(std::move(options)),
       net_(net),
@@ -521,14 +521,17 @@
   const TimeUs now = clock_.now();
   for (auto it = nodes_.begin(); it != nodes_.end();) {
     const NodePtr node = (it++)->second;
-    for (const ConnectionPtr& c : std::list<ConnectionPtr>(node->connections)) {
+    std::vector<ConnectionPtr> over;
+    for (const ConnectionPtr& c : node->connections)
+      if (c->call ? now >= c->due_at : now - c->idle_since > options_.idle_close_us * 3 / 5) over.push_back(c);
+    for (const ConnectionPtr& c : over) {
       if (c->closed) continue;
-      if (c->call && now >= c->due_at) {
-        ++counts_.overdue;
-        lost(node, c);
-      } else if (!c->call && now - c->idle_since > options_.idle_close_us * 3 / 5) {
+      if (!c->call) {
         close(node, c);
+        continue;
       }
+      ++counts_.overdue;
+      lost(node, c);
     }
     if (!node->listed && node->queries == 0 && node->connections.empty() && node->dialing == 0 &&
         waiting(*node) == 0)
--- a/src/platform/node_client.h
+++ b/src/platform/node_client.h
@@ -24,7 +24,7 @@
 #include "http/reader.h"
 #include "membership/directory.h"
 #include "platform/descriptors.h"
-#include "rpc/tcp_stream.h"
+#include "rpc/byte_stream.h"
 
 namespace sablelink::platform {
 
@@ -42,10 +42,10 @@
   uint64_t held_back = 0;                                   // attempts that waited for an earlier one
 };
 
-// On the net's loop alone. The carrier must outlive every attempt, the client its loop's last turn.
+// On the net's strand alone. The carrier must outlive every attempt, the client its loop's last turn.
 class NodeClient : public carrier::NodeTransport {
  public:
-  NodeClient(NodeClientOptions options, rpc::TcpNet& net, Clock& clock, Log& log,
+  NodeClient(NodeClientOptions options, rpc::Dialer& net, Clock& clock, Log& log,
              const membership::Directory& directory);
   ~NodeClient() override;
   void set_carrier(carrier::Carrier* carrier) { carrier_ = carrier; }
@@ -141,7 +141,7 @@
   void sweep();
 
   const NodeClientOptions options_;
-  rpc::TcpNet& net_;
+  rpc::Dialer& net_;
   Clock& clock_;
   Log& log_;
   const membership::Directory& directory_;
--- a/src/rpc/asio_loop.cpp
+++ b/src/rpc/asio_loop.cpp
@@ -50,4 +50,9 @@
   context_.run();
 }
 
+void AsioLoop::poll() {
+  context_.restart();
+  context_.poll();
+}
+
 }  // namespace sablelink::rpc
--- a/src/rpc/asio_loop.h
+++ b/src/rpc/asio_loop.h
@@ -28,6 +28,8 @@
 
   // Runs until stop(). May be called again.
   void run();
+  // What can go on without waiting; not while it runs.
+  void poll();
   // From any thread.
   void stop() { context_.stop(); }
   template <typename Fn>
--- a/src/rpc/byte_stream.h
+++ b/src/rpc/byte_stream.h
@@ -6,6 +6,7 @@
 // most one read and one write of a stream may be awaited at a time.
 #pragma once
 
+#include <boost/asio/any_io_executor.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -44,6 +45,20 @@
   co_return true;
 }
 
+// Why a connection didn't come about.
+enum class ConnectEnd { kConnected, kRefused, kTimeout, kFailed };
+
+// Where streams to others come from.
+class Dialer {
+ public:
+  virtual ~Dialer() = default;
+  // The strand's.
+  virtual boost::asio::any_io_executor executor() const = 0;
+  // Nothing where no connection came about within the time; end tells why.
+  virtual Awaitable<std::shared_ptr<ByteStream>> connect(std::string address, TimeUs within,
+                                                         ConnectEnd* end = nullptr) = 0;
+};
+
 // Runs on the strand, once for each connection that comes.
 using StreamHandler = std::function<Awaitable<void>(std::shared_ptr<ByteStream>)>;
 
--- a/src/rpc/tcp_stream.h
+++ b/src/rpc/tcp_stream.h
@@ -26,29 +26,25 @@
 
 class AsioLoop;
 
-// Why a connection didn't come about.
-enum class ConnectEnd { kConnected, kRefused, kTimeout, kFailed };
-
-class TcpNet {
+class TcpNet : public Dialer {
  public:
   explicit TcpNet(Strand strand);
   // On the loop's own thread, with no other. Made and ended while the loop doesn't run, or on it.
   explicit TcpNet(AsioLoop& loop);
   // Closes every socket. With a thread of its own it waits until whoever waited for one was told, and must not
   // be on the strand; on an AsioLoop they are told as that runs on.
-  ~TcpNet();
+  ~TcpNet() override;
   TcpNet(const TcpNet&) = delete;
   TcpNet& operator=(const TcpNet&) = delete;
 
-  const boost::asio::any_io_executor& executor() const { return strand_.executor; }
   // Serves connections at host:port, port 0 for any, from now until the net's end; the port. Throws
   // std::runtime_error with the address where that can't be.
   int listen(const std::string& address, StreamHandler handler);
   // Takes no further connections; those that stand stay.
   void stop_listening();
-  // Nothing where no connection came about within the time; end tells why.
+  boost::asio::any_io_executor executor() const override { return strand_.executor; }
   Awaitable<std::shared_ptr<ByteStream>> connect(std::string address, TimeUs within,
-                                                 ConnectEnd* end = nullptr);
+                                                 ConnectEnd* end = nullptr) override;
 
  private:
   class Socket;
--- a/src/service/platform_service.cpp
+++ b/src/service/platform_service.cpp
@@ -69,7 +69,15 @@
                          {"cores", std::to_string(config_.cores)}});
 }
 
-PlatformService::~PlatformService() = default;
+// Whoever still waits on the loop hears of the end before what it uses goes.
+PlatformService::~PlatformService() {
+  changes_.reset();
+  front_.reset();
+  nodes_.reset();
+  carrier_.reset();
+  net_.reset();
+  loop_.poll();
+}
 
 void PlatformService::told(const std::vector<config::NodeConfig>& nodes) {
   directory_.replace(nodes);
--- a/src/sim/streams.h
+++ b/src/sim/streams.h
@@ -20,9 +20,10 @@
   Streams& operator=(const Streams&) = delete;
 
   void listen(const std::string& address, std::shared_ptr<Actor> actor, rpc::StreamHandler handler);
-  // Nothing where no connection came about within the time.
+  // Nothing where no connection came about within the time; end tells why.
   rpc::Awaitable<std::shared_ptr<rpc::ByteStream>> connect(std::shared_ptr<Actor> client, std::string address,
-                                                           TimeUs within);
+                                                           TimeUs within, rpc::ConnectEnd* end = nullptr);
+  void unlisten(const std::string& address) { listeners_.erase(address); }  // connections that stand stay
   void reset(const std::string& address);  // its connections break at once
 
  private:
--- /dev/null
+++ b/tests/http_test.cpp
@@ -0,0 +1,186 @@
+// The HTTP reader: whole, byte by byte, and what must not be read.
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+#include "http/message.h"
+#include "http/reader.h"
+
+namespace sablelink::http {
+namespace {
+
+const std::string kPost =
+    "POST /v1/report HTTP/1.1\r\nHost: service.internal\r\nX-Request-Id: 9b1f03aa5c7e2d41\r\n"
+    "X-Timeout-Ms:  1500 \r\nContent-Length: 8\r\n\r\nSELECT 1";
+
+struct Read {
+  ReadState state = ReadState::kMore;
+  Request request;
+  int status = 0;
+};
+
+Read read_request(const std::string& bytes, size_t step, const ReadLimits& limits = {}) {
+  RequestReader reader(limits);
+  Read out;
+  for (size_t at = 0; at < bytes.size() && out.state == ReadState::kMore; at += step)
+    out.state = reader.feed(std::string_view(bytes).substr(at, step));
+  if (out.state == ReadState::kDone) out.request = reader.take();
+  out.status = reader.error_status();
+  return out;
+}
+
+TEST(Http, RequestsInPiecesOfAnySizeAreTheSame) {
+  for (size_t step = 1; step <= kPost.size(); ++step) {
+    const Read read = read_request(kPost, step);
+    ASSERT_EQ(read.state, ReadState::kDone) << step;
+    EXPECT_EQ(read.request.method, "POST");
+    EXPECT_EQ(read.request.target, "/v1/report");
+    EXPECT_EQ(find(read.request.fields, "x-timeout-ms"), "1500");
+    EXPECT_EQ(read.request.body, "SELECT 1");
+    EXPECT_TRUE(read.request.keep_alive);
+  }
+}
+
+TEST(Http, ChunksArePutTogether) {
+  const std::string text =
+      "POST /v1/a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n6;x=y\r\nSELECT\r\n2\r\n 1\r\n0\r\nT: v\r\n\r\n";
+  for (size_t step = 1; step <= text.size(); ++step) {
+    const Read read = read_request(text, step);
+    ASSERT_EQ(read.state, ReadState::kDone) << step;
+    EXPECT_EQ(read.request.body, "SELECT 1");
+  }
+}
+
+TEST(Http, TheNextMessageMayBeThereAlready) {
+  RequestReader reader{ReadLimits{}};
+  ASSERT_EQ(reader.feed(kPost + kPost.substr(0, 30)), ReadState::kDone);
+  EXPECT_TRUE(reader.has_rest());
+  reader.take();
+  ASSERT_EQ(reader.feed({}), ReadState::kMore);
+  ASSERT_EQ(reader.feed(kPost.substr(30)), ReadState::kDone);
+  EXPECT_FALSE(reader.has_rest());
+  EXPECT_EQ(reader.take().body, "SELECT 1");
+  EXPECT_TRUE(reader.fresh());
+}
+
+TEST(Http, WhatCanBeReadInTwoWaysIsNotRead) {
+  const auto head = [](const std::string& fields) { return "POST /v1/a HTTP/1.1\r\n" + fields + "\r\n"; };
+  const std::vector<std::pair<std::string, int>> cases = {
+      {head("Content-Length: 5\r\nTransfer-Encoding: chunked\r\n") + "0\r\n\r\n", 400},
+      {head("Transfer-Encoding: chunked\r\nContent-Length: 5\r\n") + "0\r\n\r\n", 400},
+      {head("Content-Length: 5\r\nContent-Length: 6\r\n") + "abcdef", 400},
+      {head("Content-Length: 5\r\nContent-Length: 5\r\n") + "abcde", 400},
+      {head("Content-Length: 5, 5\r\n") + "abcde", 400},
+      {head("Content-Length: -5\r\n"), 400},
+      {head("Content-Length: +5\r\n") + "abcde", 400},
+      {head("Content-Length: 0x5\r\n") + "abcde", 400},
+      {head("Content-Length: \r\n"), 400},
+      {head("Content-Length: 99999999999999999999\r\n"), 413},
+      {head("Content-Length: 62914560\r\n"), 413},
+      {head("Transfer-Encoding: gzip, chunked\r\n") + "0\r\n\r\n", 501},
+      {head("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n") + "0\r\n\r\n", 501},
+      {head("Transfer-Encoding: chunked\r\n") + "fffffffff\r\n", 400},
+      {head("Transfer-Encoding: chunked\r\n") + "ffffffff\r\n", 413},
+      {head("Transfer-Encoding: chunked\r\n") + "-1\r\n", 400},
+      {head("Transfer-Encoding: chunked\r\n") + "2\r\nabc\r\n0\r\n\r\n", 400},
+      {head("Host: a\r\nHost: b\r\n"), 400},
+      {head("X-A : b\r\n"), 400},
+      {head(" folded: b\r\n"), 400},
+      {head("no colon\r\n"), 400},
+      {head(std::string("X-A: b\0c\r\n", 10)), 400},
+      {"POST /v1/a HTTP/1.1\nHost: a\n\n", 400},
+      {"POST /v1/a\r\n\r\n", 400},
+      {"POST  /v1/a HTTP/1.1\r\n\r\n", 400},
+      {"POST /v1/a HTTP/2.0\r\n\r\n", 505},
+      {"PO\x01ST /v1/a HTTP/1.1\r\n\r\n", 400},
+      {"\x16\x03\x01\x02\r\n", 400},
+      {"POST /" + std::string(9000, 'a'), 431},
+      {head("X: " + std::string(9000, 'a')), 431},
+  };
+  for (const auto& [bytes, status] : cases)
+    for (const size_t step : {size_t{1}, size_t{7}, bytes.size()}) {
+      const Read read = read_request(bytes, step);
+      EXPECT_EQ(read.state, ReadState::kBad) << bytes.substr(0, 80);
+      EXPECT_EQ(read.status, status) << bytes.substr(0, 80);
+    }
+  std::string many = "GET / HTTP/1.1\r\n";
+  for (int i = 0; i < 65; ++i) many += "A: b\r\n";
+  EXPECT_EQ(read_request(many, 5).status, 431);
+}
+
+// A reader that kept what it has read would hold all of a body that never ends.
+TEST(Http, NothingGrowsPastItsLimit) {
+  ReadLimits limits;
+  limits.body_bytes = 1000;
+  RequestReader reader(limits);
+  ReadState state = reader.feed("POST /v1/a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n");
+  size_t fed = 0;
+  while (state == ReadState::kMore && fed < 1 << 20) {
+    state = reader.feed("5\r\nabcde\r\n");
+    fed += 5;
+  }
+  EXPECT_EQ(state, ReadState::kBad);
+  EXPECT_LE(fed, 1005u);
+  EXPECT_EQ(reader.buffered(), 0u);
+  // Interim answers, too, come to an end.
+  ResponseReader answers(limits);
+  int interim = 0;
+  for (state = ReadState::kMore; state == ReadState::kMore && interim < 100; ++interim)
+    state = answers.feed("HTTP/1.1 102 Processing\r\n\r\n");
+  EXPECT_EQ(state, ReadState::kBad);
+  EXPECT_EQ(interim, 9);
+}
+
+TEST(Http, AnswersByLengthByChunksByEndAndAfterInterimOnes) {
+  const auto read = [](const std::string& bytes, bool ends, size_t step) {
+    ResponseReader reader{ReadLimits{}};
+    ReadState state = ReadState::kMore;
+    for (size_t at = 0; at < bytes.size(); at += step) state = reader.feed(std::string_view(bytes).substr(at, step));
+    if (ends) state = reader.finish();
+    return std::make_pair(state, reader.take());
+  };
+  for (const size_t step : {size_t{1}, size_t{3}, size_t{1000}}) {
+    const auto [a, sized] =
+        read("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nPage-Count: 2\r\nContent-Length: 3\r\n\r\nabc", false,
+             step);
+    ASSERT_EQ(a, ReadState::kDone);
+    EXPECT_EQ(sized.status, 200);
+    EXPECT_EQ(find(sized.fields, "page-count"), "2");
+    EXPECT_EQ(sized.body, "abc");
+    EXPECT_EQ(read("HTTP/1.1 204 No Content\r\n\r\n", false, step).first, ReadState::kDone);
+    const auto [b, open] = read("HTTP/1.1 200 OK\r\n\r\nabc", true, step);
+    ASSERT_EQ(b, ReadState::kDone);
+    EXPECT_EQ(open.body, "abc");
+    EXPECT_FALSE(open.keep_alive);
+    EXPECT_EQ(read("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc", true, step).first, ReadState::kBad);
+    EXPECT_EQ(read("HTTP/1.1 2OO OK\r\n\r\n", false, step).first, ReadState::kBad);
+    EXPECT_EQ(read("HTTP/1.1 101 Switching\r\n\r\n", false, step).first, ReadState::kBad);
+    EXPECT_EQ(read("HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\n", false, step).first, ReadState::kBad);
+  }
+}
+
+TEST(Http, WhatIsWrittenIsReadBack) {
+  RequestReader requests{ReadLimits{}};
+  ASSERT_EQ(requests.feed(write_request("POST", "/v2/q", "10.0.0.1:80", {{"X-Ticket", "ab"}}, "SELECT 1")),
+            ReadState::kDone);
+  const Request request = requests.take();
+  EXPECT_EQ(find(request.fields, "host"), "10.0.0.1:80");
+  EXPECT_EQ(find(request.fields, "x-ticket"), "ab");
+  EXPECT_EQ(request.body, "SELECT 1");
+  ASSERT_EQ(requests.feed(write_request("DELETE", "/v2/q/ab", "h", {})), ReadState::kDone);
+  ResponseReader answers{ReadLimits{}};
+  ASSERT_EQ(answers.feed(write_response(503, {{"Retry-After-Ms", "200"}}, "{}", false)), ReadState::kDone);
+  EXPECT_FALSE(answers.response().keep_alive);
+  EXPECT_EQ(answers.take().body, "{}");
+}
+
+TEST(Http, WholeNumbersAlone) {
+  EXPECT_EQ(whole_number("0", 10), 0);
+  EXPECT_EQ(whole_number("10", 10), 10);
+  for (const char* wrong : {"", "11", "-1", "+1", "1.0", " 1", "1 ", "0x1", "1e1", "99999999999999999999"})
+    EXPECT_EQ(whole_number(wrong, 10), -1) << wrong;
+}
+
+}  // namespace
+}  // namespace sablelink::http
--- /dev/null
+++ b/tests/platform_harness.h
@@ -0,0 +1,279 @@
+// The platform side on a virtual clock and simulated streams: a gateway's front, carrier and node client, with
+// scripted nodes and clients.
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/signal.h"
+#include "carrier/carrier.h"
+#include "harness.h"
+#include "http/reader.h"
+#include "membership/directory.h"
+#include "platform/front.h"
+#include "platform/node_client.h"
+#include "sim/streams.h"
+#include "sim/world.h"
+#include "sim_harness.h"
+
+namespace sablelink::test {
+
+class SimDialer : public rpc::Dialer {
+ public:
+  SimDialer(sim::World& world, sim::Streams& streams, std::shared_ptr<sim::Actor> from)
+      : world_(world), streams_(streams), from_(std::move(from)) {}
+  boost::asio::any_io_executor executor() const override { return world_.executor(); }
+  rpc::Awaitable<std::shared_ptr<rpc::ByteStream>> connect(std::string address, TimeUs within,
+                                                           rpc::ConnectEnd* end) override {
+    return streams_.connect(from_, std::move(address), within, end);
+  }
+
+ private:
+  sim::World& world_;
+  sim::Streams& streams_;
+  const std::shared_ptr<sim::Actor> from_;
+};
+
+// What a scripted node does with a call.
+struct NodeReply {
+  std::string bytes;
+  TimeUs after = 0;
+  bool breaks = false;  // the connection, after the bytes
+  bool silent = false;  // nothing is answered, the connection stands
+  std::string then{};   // comes 2 ms after the answer
+};
+
+// A node that works off queries by the protocol, unless its script says otherwise for a call.
+class ScriptedNode {
+ public:
+  struct Seen {
+    TimeUs at = 0;
+    int connection = 0;
+    http::Request request;
+    std::string call() const { return request.method + " " + request.target; }
+  };
+
+  ScriptedNode(sim::World& world, sim::Streams& streams, std::string address)
+      : world_(world), actor_(sim::Actor::make(world, "node/" + address)), address_(std::move(address)) {
+    streams.listen(address_, actor_, [this](std::shared_ptr<rpc::ByteStream> s) { return serve(std::move(s)); });
+  }
+
+  TimeUs work_us = 100'000;
+  std::vector<std::string> pages = {"a\t1\tx\n"};
+  std::function<std::optional<NodeReply>(const Seen& seen)> script;
+  std::vector<Seen> seen;
+
+  const std::string& address() const { return address_; }
+  size_t count(std::string_view call) const {
+    size_t n = 0;
+    for (const Seen& s : seen) n += s.call().starts_with(call);
+    return n;
+  }
+  const Seen* first(std::string_view call) const {
+    for (const Seen& s : seen)
+      if (s.call().starts_with(call)) return &s;
+    return nullptr;
+  }
+  int connections() const { return connections_; }
+  // The good end of a query, or page `number`.
+  std::string page(size_t number) const {
+    http::Fields fields = {{"Page-No", std::to_string(number)}};
+    if (number == 0)
+      fields = {{"Page-Count", std::to_string(pages.size())},
+                {"Work-Ms", "90"},
+                {"Peak-Mb", "12"},
+                {"X-Meter", "concurrent:3;x0:0.5"}};
+    return http::write_response(200, fields, pages[number], true);
+  }
+
+ private:
+  NodeReply usual(const Seen& s) {
+    const std::string& target = s.request.target;
+    std::string id(http::find(s.request.fields, "x-ticket"));
+    std::string part = "0";
+    if (s.request.method != "POST") {
+      const size_t slash = target.rfind('/');
+      id = s.request.method == "GET" ? target.substr(6, slash - 6) : target.substr(6);
+      part = target.substr(slash + 1);
+    }
+    if (s.request.method == "POST") ends_[id] = s.at + work_us;
+    if (s.request.method == "DELETE") {
+      ends_.erase(id);
+      return {http::write_response(204, {}, "", true)};
+    }
+    const auto it = ends_.find(id);
+    if (it == ends_.end()) return {http::write_response(500, {}, "", true)};
+    if (part != "0") return {page(std::stoul(part))};
+    if (it->second - s.at <= 250'000) return {page(0), std::max<TimeUs>(it->second - s.at, 0)};
+    return {http::write_response(202, {{"X-Remark", "done"}, {"Figure", "0.2"}}, "", true), 250'000};
+  }
+
+  rpc::Awaitable<void> serve(std::shared_ptr<rpc::ByteStream> stream) {
+    const int number = ++connections_;
+    http::RequestReader reader{http::ReadLimits{}};
+    for (;;) {
+      const std::optional<std::string> bytes = co_await stream->read(4096);
+      if (!bytes || bytes->empty()) co_return;
+      for (auto state = reader.feed(*bytes); state != http::ReadState::kMore; state = reader.feed({})) {
+        EXPECT_EQ(state, http::ReadState::kDone) << "a node was sent what can't be read: " << reader.error();
+        if (state == http::ReadState::kBad) co_return;
+        Seen s{world_.now(), number, reader.take()};
+        seen.push_back(s);
+        std::optional<NodeReply> reply = script ? script(s) : std::nullopt;
+        if (!reply) reply = usual(s);
+        if (reply->silent) continue;
+        if (reply->after > 0) co_await pause(*actor_, reply->after);
+        if (!reply->bytes.empty()) co_await rpc::write_all(*stream, reply->bytes);
+        if (!reply->then.empty()) {
+          co_await pause(*actor_, 2 * kMs);
+          co_await rpc::write_all(*stream, reply->then);
+        }
+        if (reply->breaks) {
+          stream->close();
+          co_return;
+        }
+      }
+    }
+  }
+
+  sim::World& world_;
+  const std::shared_ptr<sim::Actor> actor_;
+  const std::string address_;
+  std::map<std::string, TimeUs> ends_;
+  int connections_ = 0;
+};
+
+class PlatformBench {
+ public:
+  explicit PlatformBench(size_t client_connections = 20, size_t node_connections = 40) {
+    settings_.max_attempts = 6;
+    options_.classes = {"lookup", "report"};
+    for (const ClassSettings& cls : settings_.classes) options_.patience_us.push_back(cls.deadline_us);
+    options_.connections = client_connections;
+    platform::NodeClientOptions to_nodes;
+    to_nodes.budget.nodes = node_connections;
+    to_nodes.classes = options_.classes;
+    nodes_ = std::make_unique<platform::NodeClient>(to_nodes, net_, *actor_, log_, directory_);
+    carrier_ = std::make_unique<carrier::Carrier>(settings_, 7, carrier::CarrierLimits{}, *actor_, *nodes_, lists_,
+                                                  log_);
+    nodes_->set_carrier(carrier_.get());
+    front_ = std::make_unique<platform::Front>(options_, *carrier_, net_, *actor_, log_);
+    streams_.listen("gateway", actor_, [this](auto stream) { return front_->serve(std::move(stream)); });
+    carrier_->start();
+  }
+  ~PlatformBench() {
+    front_.reset();
+    nodes_.reset();
+    carrier_.reset();
+    while (world_.step()) continue;  // whoever still waits hears of its end
+  }
+
+  ScriptedNode& add_node() {
+    const std::string address = "10.0.0." + std::to_string(scripted_.size() + 1) + ":10080";
+    scripted_.push_back(std::make_unique<ScriptedNode>(world_, streams_, address));
+    return *scripted_.back();
+  }
+  // Tells the gateway of all nodes, in the states given; those without one are ready.
+  void tell(const std::map<std::string, EngineState>& states = {}) {
+    std::vector<config::NodeConfig> list;
+    for (const auto& node : scripted_) {
+      config::NodeConfig entry;
+      entry.name = entry.address = node->address();
+      if (const auto it = states.find(entry.address); it != states.end()) entry.state = it->second;
+      list.push_back(entry);
+    }
+    directory_.replace(list);
+    nodes_->nodes_changed();
+    carrier_->set_list(ListForm::kFull, directory_.entries());
+  }
+  EngineId id_of(const ScriptedNode& node) const {
+    for (const EngineEntry& e : directory_.entries())
+      if (directory_.address(e.engine) == node.address()) return e.engine;
+    return 0;
+  }
+
+  static std::string statement(const std::string& id, const std::string& body = "SELECT 1 FROM sales_17.orders",
+                               const std::string& cls = "lookup", const std::string& timeout = "2000") {
+    return http::write_request("POST", "/v1/" + cls, "service.internal",
+                               {{"X-Request-Id", id}, {"X-Timeout-Ms", timeout}}, body);
+  }
+
+  // Sends the bytes on a connection of its own and reads one answer; status 0 where the connection ended
+  // before one was whole, -1 where neither came within the time.
+  struct Answer {
+    int status = -1;
+    http::Fields fields;
+    std::string body;
+    TimeUs took_us = 0;
+  };
+  rpc::Awaitable<void> ask(std::string bytes, std::shared_ptr<Answer> out, TimeUs patience = 20'000'000) {
+    const TimeUs from = world_.now();
+    const auto stream = co_await streams_.connect(client_, "gateway", 1'000'000);
+    if (!stream) co_return;
+    client_->call_after(patience, [weak = std::weak_ptr<rpc::ByteStream>(stream)] {
+      if (const auto s = weak.lock()) s->close();
+    });
+    const bool sent = co_await rpc::write_all(*stream, std::move(bytes));
+    http::ResponseReader reader{http::ReadLimits{}};
+    for (auto state = http::ReadState::kMore; sent && state == http::ReadState::kMore;) {
+      const std::optional<std::string> piece = co_await stream->read(4096);
+      if (!piece || piece->empty()) break;
+      state = reader.feed(*piece);
+      if (state == http::ReadState::kDone) {
+        http::Response response = reader.take();
+        *out = {response.status, std::move(response.fields), std::move(response.body), world_.now() - from};
+        co_return;
+      }
+    }
+    out->took_us = world_.now() - from;
+    if (out->took_us < patience) out->status = 0;
+  }
+  std::shared_ptr<Answer> start(std::string bytes, TimeUs patience = 20'000'000) {
+    const auto out = std::make_shared<Answer>();
+    boost::asio::co_spawn(world_.executor(), ask(std::move(bytes), out, patience), boost::asio::detached);
+    return out;
+  }
+  void run_for(TimeUs time) {
+    world_.settle();
+    world_.run_until(world_.now() + time);
+  }
+
+  sim::World& world() { return world_; }
+  sim::Streams& streams() { return streams_; }
+  platform::NodeClient& nodes() { return *nodes_; }
+  platform::Front& front() { return *front_; }
+  carrier::Carrier& carrier() { return *carrier_; }
+  const std::shared_ptr<sim::Actor>& client() { return client_; }
+
+ private:
+  struct NoLists : carrier::ListSource {
+    void subscribe(bool) override {}
+    void fetch() override {}
+  };
+
+  sim::Account account_;
+  sim::World world_{7, account_};
+  sim::Streams streams_{world_, {}};
+  std::shared_ptr<sim::Actor> actor_ = sim::Actor::make(world_, "gateway");
+  std::shared_ptr<sim::Actor> client_ = sim::Actor::make(world_, "client");
+  SimDialer net_{world_, streams_, actor_};
+  NullLog log_;
+  NoLists lists_;
+  Settings settings_ = plain_settings();
+  platform::FrontOptions options_;
+  membership::Directory directory_;
+  std::unique_ptr<platform::NodeClient> nodes_;
+  std::unique_ptr<carrier::Carrier> carrier_;
+  std::unique_ptr<platform::Front> front_;
+  std::vector<std::unique_ptr<ScriptedNode>> scripted_;
+};
+
+}  // namespace sablelink::test
--- /dev/null
+++ b/tests/platform_test.cpp
@@ -0,0 +1,628 @@
+// The platform side on a virtual clock: whole answers through breaks and noise, attempts that never overlap,
+// clients that send what they should not, the change log, the configuration.
+#include <gtest/gtest.h>
+
+#include "platform/change_log.h"
+#include "platform/config.h"
+#include "platform/descriptors.h"
+#include "platform/pages.h"
+#include "platform_harness.h"
+#include "settings.h"
+#include "sql/table_group.h"
+
+namespace sablelink::test {
+namespace {
+
+using platform::ChangeEvent;
+using platform::ChangeSequence;
+using Answer = PlatformBench::Answer;
+
+std::string id_number(int n) {
+  char id[17];
+  std::snprintf(id, sizeof(id), "%016x", n);
+  return id;
+}
+
+// ---- Whole answers -----------------------------------------------------------------------------------------
+
+TEST(Platform, AStatementComesBackWhole) {
+  PlatformBench b;
+  ScriptedNode& node = b.add_node();
+  node.pages = {"a\t1\tx\nb\t2\t\n", "c\t\"q\"\tz\\\n"};
+  b.tell();
+  const std::string text = "SELECT day FROM sales_17.orders WHERE tag = '3f9c'";
+  const auto answer = b.start(PlatformBench::statement(id_number(1), text));
+  b.run_for(kSecond);
+  EXPECT_EQ(answer->status, 200);
+  EXPECT_EQ(answer->body, R"({"rows":[["a","1","x"],["b","2",""],["c","\"q\"","z\\"]]})");
+  const ScriptedNode::Seen* const post = node.first("POST");
+  ASSERT_NE(post, nullptr);
+  EXPECT_EQ(post->request.target, "/v2/q");
+  EXPECT_EQ(post->request.body, text);
+  EXPECT_EQ(http::find(post->request.fields, "x-ticket"), id_number(1));
+  EXPECT_EQ(http::find(post->request.fields, "x-queue"), "lookup");
+  EXPECT_LE(http::whole_number(http::find(post->request.fields, "x-max-ms"), 100000), 2000);
+  EXPECT_EQ(node.count("POST"), 1u);
+  EXPECT_EQ(b.nodes().queries(), 0u);
+  EXPECT_EQ(b.carrier().entries(), 0u);
+}
+
+TEST(Platform, ALongQueryIsAskedForUntilItEnds) {
+  PlatformBench b;
+  ScriptedNode& node = b.add_node();
+  node.work_us = 900'000;
+  b.tell();
+  const auto answer = b.start(PlatformBench::statement(id_number(1), "SELECT 1", "report", "9000"));
+  b.run_for(2 * kSecond);
+  EXPECT_EQ(answer->status, 200);
+  EXPECT_EQ(node.count("POST"), 1u);
+  EXPECT_GE(node.count("GET"), 3u);
+}
+
+// A query does not belong to a connection: what broke is asked for, and nothing runs twice.
+TEST(Platform, ABreakUnderAStartOrAnAnswerIsMended) {
+  for (const bool at_post : {true, false}) {
+    PlatformBench b;
+    ScriptedNode& node = b.add_node();
+    node.work_us = 400'000;
+    int breaks = 0;
+    node.script = [&](const ScriptedNode::Seen& s) -> std::optional<NodeReply> {
+      const bool hit = at_post ? s.request.method == "POST" : s.request.target.ends_with("/0");
+      if (!hit || ++breaks > 2) return std::nullopt;
+      if (at_post) {
+        return std::nullopt;  // read and begun; the connection breaks before a word of it, below
+      }
+      return NodeReply{"HTTP/1.1 20", 0, true, false};
+    };
+    b.tell();
+    const auto answer = b.start(PlatformBench::statement(id_number(1)));
+    b.run_for(50 * kMs);
+    if (at_post) b.streams().reset(node.address());
+    b.run_for(3 * kSecond);
+    EXPECT_EQ(answer->status, 200) << at_post;
+    EXPECT_EQ(node.count("POST"), 1u) << at_post;
+  }
+}
+
+TEST(Platform, SpoiltPagesAreAskedForAgain) {
+  const std::vector<std::string> spoilt = {
+      "HTTP/1.1 200 OK\r\nPage-No: 1\r\nContent-Length: 3221225472\r\n\r\n",
+      "\x01\x02\x03 noise\r\n\r\n",
+      http::write_response(200, {{"Page-No", "1"}}, "two\tcolumns\n", true),
+      http::write_response(200, {{"Page-No", "1"}}, "a\tb\tno end", true),
+      http::write_response(200, {{"Page-No", "1"}}, "a\t\xff\xfe\tb\n", true),
+      http::write_response(200, {{"Page-No", "2"}}, "another\tpage\tx\n", true),
+      http::write_response(200, {}, "without\ta\tnumber\n", true),
+      http::write_response(404, {}, "", true),
+  };
+  for (const std::string& bytes : spoilt) {
+    PlatformBench b;
+    ScriptedNode& node = b.add_node();
+    node.pages = {"a\t1\tx\n", "b\t2\ty\n"};
+    int times = 0;
+    node.script = [&](const ScriptedNode::Seen& s) -> std::optional<NodeReply> {
+      if (!s.request.target.ends_with("/1") || ++times > 1) return std::nullopt;
+      return NodeReply{bytes, 0, false, false};
+    };
+    b.tell();
+    const auto answer = b.start(PlatformBench::statement(id_number(1)));
+    b.run_for(2 * kSecond);
+    EXPECT_EQ(answer->body, R"({"rows":[["a","1","x"],["b","2","y"]]})") << bytes.substr(0, 60);
+    EXPECT_EQ(node.count("POST"), 1u);
+  }
+}
+
+// A second copy of an answer must not be taken for the next call's.
+TEST(Platform, WhatFollowsAnAnswerEndsItsConnection) {
+  for (const bool late : {false, true}) {
+    PlatformBench b(20, 1);
+    ScriptedNode& node = b.add_node();
+    node.script = [&](const ScriptedNode::Seen& s) -> std::optional<NodeReply> {
+      if (s.request.method != "POST" || s.connection > 1) return std::nullopt;
+      const std::string interim = "HTTP/1.1 102 Processing\r\n\r\n", copy = node.page(0);
+      return NodeReply{interim + copy + (late ? "" : copy), 0, false, false, late ? copy : ""};
+    };
+    b.tell();
+    std::vector<std::shared_ptr<Answer>> answers;
+    for (int i = 1; i <= 2; ++i) answers.push_back(b.start(PlatformBench::statement(id_number(i))));
+    b.run_for(kSecond);
+    node.script = nullptr;
+    for (const auto& answer : answers) EXPECT_EQ(answer->status, 200);
+    EXPECT_EQ(node.count("POST"), 2u);
+    EXPECT_EQ(node.seen.back().connection, 2);
+  }
+}
+
+TEST(Platform, ANodeThatRefusesConnectionsLosesItsTurn) {
+  PlatformBench b;
+  ScriptedNode& dead = b.add_node();
+  ScriptedNode& alive = b.add_node();
+  b.tell();
+  b.streams().unlisten(dead.address());
+  std::vector<std::shared_ptr<Answer>> answers;
+  for (int i = 1; i <= 6; ++i) answers.push_back(b.start(PlatformBench::statement(id_number(i))));
+  b.run_for(2 * kSecond);
+  for (const auto& answer : answers) EXPECT_EQ(answer->status, 200);
+  EXPECT_EQ(alive.count("POST"), 6u);
+}
+
+TEST(Platform, FullErrorAndExpiredAreToldApart) {
+  struct Case {
+    int status;
+    http::Fields fields;
+    int posts;  // further attempts wherever it may be tried again
+  };
+  for (const Case& c : {Case{503, {{"X-Shed", "1"}}, 2}, Case{500, {}, 2}, Case{504, {{"X-Shed", "1"}}, 2}}) {
+    PlatformBench b;
+    ScriptedNode& node = b.add_node();
+    ScriptedNode& other = b.add_node();
+    int times = 0;
+    const auto script = [&](const ScriptedNode::Seen& s) -> std::optional<NodeReply> {
+      if (s.request.method != "POST" || ++times > 1) return std::nullopt;
+      return NodeReply{http::write_response(c.status, c.fields, "", true)};
+    };
+    node.script = other.script = script;
+    b.tell();
+    const auto answer = b.start(PlatformBench::statement(id_number(1)));
+    b.run_for(2 * kSecond);
+    EXPECT_EQ(answer->status, 200) << c.status;
+    EXPECT_EQ(node.count("POST") + other.count("POST"), static_cast<size_t>(c.posts)) << c.status;
+  }
+}
+
+// ---- Attempts and rules ------------------------------------------------------------------------------------
+
+carrier::AttemptOrder order(const std::string& id) {
+  carrier::Statement statement;
+  statement.text = "SELECT 1";
+  statement.client_tag = id;
+  carrier::AttemptOrder out;
+  out.statement = std::make_shared<const carrier::Statement>(statement);
+  out.allow_us = 5 * kSecond;
+  return out;
+}
+
+// Rule 2: where second copies aren't allowed the next attempt reaches its node only once the one before is
+// known to be given up.
+TEST(Platform, TheNextAttemptWaitsUntilTheOneBeforeIsGivenUp) {
+  PlatformBench b;
+  ScriptedNode& a = b.add_node();
+  ScriptedNode& c = b.add_node();
+  a.work_us = c.work_us = 10 * kSecond;
+  a.script = [&](const ScriptedNode::Seen& s) -> std::optional<NodeReply> {
+    if (s.request.method != "DELETE") return std::nullopt;
+    return NodeReply{http::write_response(204, {}, "", true), 100 * kMs};
+  };
+  b.tell();
+  b.nodes().start({7, 0}, b.id_of(a), order(id_number(7)));
+  b.run_for(300 * kMs);
+  ASSERT_EQ(a.count("POST"), 1u);
+  b.nodes().drop({7, 0});
+  b.nodes().start({7, 1}, b.id_of(c), order(id_number(7)));
+  b.run_for(kSecond);
+  ASSERT_NE(a.first("DELETE"), nullptr);
+  ASSERT_NE(c.first("POST"), nullptr);
+  EXPECT_GE(c.first("POST")->at, a.first("DELETE")->at + 100 * kMs);
+  b.nodes().drop({7, 1});
+  b.run_for(kSecond);
+}
+
+TEST(Platform, OfASilentNodeTheNextAttemptWaitsUntilItHasLetGo) {
+  PlatformBench b;
+  ScriptedNode& a = b.add_node();
+  ScriptedNode& c = b.add_node();
+  c.work_us = 10 * kSecond;
+  a.script = [](const ScriptedNode::Seen&) { return NodeReply{"", 0, false, true}; };
+  b.tell();
+  b.nodes().start({7, 0}, b.id_of(a), order(id_number(7)));
+  b.run_for(300 * kMs);
+  b.nodes().drop({7, 0});
+  b.nodes().start({7, 1}, b.id_of(c), order(id_number(7)));
+  b.run_for(5 * kSecond);
+  ASSERT_NE(c.first("POST"), nullptr);
+  TimeUs last_asked = 0;
+  for (const auto& s : a.seen)
+    if (s.request.method != "DELETE") last_asked = s.at;
+  EXPECT_GE(c.first("POST")->at, last_asked + 2 * kSecond);
+  b.nodes().drop({7, 1});
+  b.run_for(kSecond);
+}
+
+// Rule 3: a send that has waited for a connection isn't made after the news of the drain.
+TEST(Platform, NothingStartsOnANodeThatIsLeaving) {
+  PlatformBench b;
+  ScriptedNode& a = b.add_node();
+  ScriptedNode& c = b.add_node();
+  b.tell();
+  a.work_us = c.work_us = 10 * kSecond;
+  a.script = [&](const ScriptedNode::Seen& s) -> std::optional<NodeReply> {
+    if (s.request.method != "DELETE") return std::nullopt;
+    return NodeReply{http::write_response(204, {}, "", true), 200 * kMs};
+  };
+  b.nodes().start({7, 0}, b.id_of(a), order(id_number(7)));
+  b.run_for(100 * kMs);
+  b.nodes().drop({7, 0});
+  b.nodes().start({7, 1}, b.id_of(c), order(id_number(7)));
+  b.tell({{c.address(), EngineState::kDraining}});
+  b.run_for(2 * kSecond);
+  EXPECT_EQ(c.count("POST"), 0u);
+}
+
+// Nodes let go of a query that nobody asks for within 2 s.
+TEST(Platform, ManyQueriesAreAllAskedForOverFewConnections) {
+  PlatformBench b(20, 4);
+  ScriptedNode& node = b.add_node();
+  node.work_us = 60 * kSecond;
+  b.tell();
+  constexpr int kQueries = 24;
+  for (int i = 1; i <= kQueries; ++i) b.nodes().start({static_cast<RequestId>(i), 0}, b.id_of(node), order(id_number(i)));
+  b.run_for(12 * kSecond);
+  EXPECT_LE(node.connections(), 4);
+  std::map<std::string, TimeUs> asked;
+  TimeUs longest = 0;
+  for (const auto& s : node.seen) {
+    const std::string id = s.request.method == "POST" ? std::string(http::find(s.request.fields, "x-ticket"))
+                                                      : s.request.target.substr(6, 16);
+    TimeUs& last = asked[id];
+    if (last > 0) longest = std::max(longest, s.at - last);
+    last = s.at;
+  }
+  EXPECT_EQ(asked.size(), static_cast<size_t>(kQueries));
+  EXPECT_LT(longest, 1900 * kMs);
+  for (int i = 1; i <= kQueries; ++i) b.nodes().drop({static_cast<RequestId>(i), 0});
+  b.run_for(kSecond);
+  EXPECT_EQ(node.count("DELETE"), static_cast<size_t>(kQueries));
+}
+
+TEST(Platform, AClientThatLeavesTakesItsQueryAlong) {
+  PlatformBench b;
+  ScriptedNode& node = b.add_node();
+  node.work_us = 3 * kSecond;
+  b.tell();
+  b.start(PlatformBench::statement(id_number(1), "SELECT 1", "report", "9000"), 700 * kMs);
+  b.run_for(2 * kSecond);
+  EXPECT_EQ(node.count("DELETE"), 1u);
+  EXPECT_EQ(b.carrier().entries(), 0u);
+  EXPECT_EQ(b.front().connections(), 0u);
+}
+
+// ---- Clients that send what they should not ----------------------------------------------------------------
+
+TEST(Platform, WhatIsNoCallIsTurnedAwayAndReachesNoNode) {
+  const std::string id = id_number(5);
+  const auto post = [&](const std::string& fields, const std::string& body = "SELECT 1") {
+    return "POST /v1/lookup HTTP/1.1\r\nHost: h\r\n" + fields + "Content-Length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
+  };
+  const std::string good_id = "X-Request-Id: " + id + "\r\n", good_time = "X-Timeout-Ms: 1500\r\n";
+  const std::vector<std::pair<std::string, int>> cases = {
+      {post(good_time), 400},
+      {post("X-Request-Id: 9B1F03AA5C7E2D41\r\n" + good_time), 400},
+      {post("X-Request-Id: 9b1f03aa5c7e2d4\r\n" + good_time), 400},
+      {post("X-Request-Id: 9b1f03aa5c7e2d4/../../x\r\n" + good_time), 400},
+      {post(good_id + good_id + good_time), 400},
+      {post(good_id), 400},
+      {post(good_id + "X-Timeout-Ms: -1\r\n"), 400},
+      {post(good_id + "X-Timeout-Ms: 0\r\n"), 400},
+      {post(good_id + "X-Timeout-Ms: soon\r\n"), 400},
+      {post(good_id + "X-Timeout-Ms: 1e3\r\n"), 400},
+      {post(good_id + "X-Timeout-Ms: 99999999999999999999\r\n"), 400},
+      {post(good_id + "X-Timeout-Ms: 86400000\r\n"), 400},
+      {post(good_id + good_time + good_time), 400},
+      {post(good_id + good_time + "X-Retry: 7\r\n"), 400},
+      {post(good_id + good_time, ""), 400},
+      {post(good_id + good_time, std::string("SELECT \0 1", 10)), 400},
+      {post(good_id + good_time, "SELECT '\xc3\x28'"), 400},
+      {post(good_id + good_time, std::string(70'000, 'x')), 413},
+      {"POST /v1/nothing HTTP/1.1\r\n" + good_id + good_time + "Content-Length: 1\r\n\r\nx", 404},
+      {"POST /v1/lookup/more HTTP/1.1\r\n" + good_id + good_time + "Content-Length: 1\r\n\r\nx", 404},
+      {"PUT /v1/lookup HTTP/1.1\r\n" + good_id + good_time + "Content-Length: 1\r\n\r\nx", 405},
+      {"GET /v1/lookup HTTP/1.1\r\n\r\n", 405},
+      {"DELETE /v2/q/" + id + " HTTP/1.1\r\n\r\n", 404},
+      {post(good_id + good_time + "Transfer-Encoding: chunked\r\n", "0\r\n\r\n" + post(good_id + good_time)), 400},
+      {"\x16\x03\x01\x05 hello\r\n\r\n", 400},
+  };
+  for (const auto& [bytes, status] : cases) {
+    PlatformBench b;
+    ScriptedNode& node = b.add_node();
+    b.tell();
+    const auto answer = b.start(bytes);
+    b.run_for(3 * kSecond);
+    EXPECT_EQ(answer->status, status) << bytes.substr(0, 160);
+    EXPECT_EQ(node.seen.size(), 0u) << bytes.substr(0, 160);
+    EXPECT_EQ(b.carrier().counts().taken, 0u);
+  }
+}
+
+TEST(Platform, HalfACallAndSilenceAreClosedWithinThreeSeconds) {
+  const std::string whole = PlatformBench::statement(id_number(1));
+  for (const std::string& half : {std::string(), whole.substr(0, 30), whole.substr(0, whole.size() - 3)}) {
+    PlatformBench b;
+    b.add_node();
+    b.tell();
+    const auto answer = b.start(half);
+    b.run_for(5 * kSecond);
+    EXPECT_EQ(answer->status, 408) << half.size();
+    EXPECT_LT(answer->took_us, 3 * kSecond);
+    EXPECT_EQ(b.front().connections(), 0u);
+  }
+}
+
+TEST(Platform, TheIdOfAnOpenRequestIsTakenOnce) {
+  PlatformBench b;
+  ScriptedNode& node = b.add_node();
+  node.work_us = 500'000;
+  b.tell();
+  const auto first = b.start(PlatformBench::statement(id_number(1)));
+  b.run_for(50 * kMs);
+  const auto second = b.start(PlatformBench::statement(id_number(1), "DELETE FROM sales_17.orders"));
+  b.run_for(2 * kSecond);
+  EXPECT_EQ(first->status, 200);
+  EXPECT_EQ(second->status, 409);
+  EXPECT_EQ(node.count("POST"), 1u);
+  // Once it is over, the id is free.
+  const auto third = b.start(PlatformBench::statement(id_number(1)));
+  b.run_for(2 * kSecond);
+  EXPECT_EQ(third->status, 200);
+}
+
+// Hundreds that connect and say nothing don't keep a usual client out.
+TEST(Platform, SilentConnectionsMakeRoom) {
+  PlatformBench b(10);
+  b.add_node();
+  b.tell();
+  std::vector<std::shared_ptr<Answer>> silent;
+  for (int i = 0; i < 200; ++i) {
+    silent.push_back(b.start(""));
+    b.run_for(2 * kMs);
+  }
+  EXPECT_LE(b.front().connections(), 10u);
+  const auto usual = b.start(PlatformBench::statement(id_number(1)));
+  b.run_for(kSecond);
+  EXPECT_EQ(usual->status, 200);
+  b.run_for(5 * kSecond);
+  for (const auto& s : silent) EXPECT_GE(s->status, 0);
+}
+
+// A connection at work is never given up for one that comes new.
+TEST(Platform, OpenRequestsKeepTheirConnections) {
+  PlatformBench b(4);
+  ScriptedNode& node = b.add_node();
+  node.work_us = 800'000;
+  b.tell();
+  std::vector<std::shared_ptr<Answer>> open;
+  for (int i = 1; i <= 4; ++i) open.push_back(b.start(PlatformBench::statement(id_number(i))));
+  b.run_for(100 * kMs);
+  const auto further = b.start(PlatformBench::statement(id_number(9)));
+  b.run_for(2 * kSecond);
+  for (const auto& answer : open) EXPECT_EQ(answer->status, 200);
+  EXPECT_EQ(further->status, 0);
+}
+
+TEST(Platform, HealthSaysWhenItLeaves) {
+  PlatformBench b;
+  const std::string health = http::write_request("GET", "/healthz", "h", {});
+  const auto before = b.start(health);
+  b.run_for(100 * kMs);
+  EXPECT_EQ(before->status, 200);
+  b.front().leave();
+  const auto after = b.start(health);
+  b.run_for(100 * kMs);
+  EXPECT_EQ(after->status, 503);
+  EXPECT_EQ(http::find(after->fields, "connection"), "close");
+}
+
+TEST(Platform, ARefusalTellsWhenToComeBack) {
+  PlatformBench b;  // no node is known: nothing can be served
+  b.add_node();
+  b.tell();
+  b.streams().unlisten("10.0.0.1:10080");
+  const auto answer = b.start(PlatformBench::statement(id_number(1)));
+  b.run_for(4 * kSecond);
+  EXPECT_EQ(answer->status, 503);
+  EXPECT_EQ(answer->body, R"({"failure":"Full"})");
+}
+
+// ---- Pure parts --------------------------------------------------------------------------------------------
+
+TEST(PlatformPages, RowsOfThreeColumnsAlone) {
+  EXPECT_EQ(platform::rows_of(""), "");
+  EXPECT_EQ(platform::rows_of("a\t\t\n"), R"(["a","",""])");
+  EXPECT_EQ(platform::rows_of("\xe2\x82\xac\t\x24\t\\\n"), "[\"\xe2\x82\xac\",\"$\",\"\\\\\"]");
+  for (const std::string wrong :
+       {"a\n", "a\tb\n", "a\tb\tc\td\n", "a\tb\tc", "a\tb\tc\n\n", "a\tb\t\xff\n", "a\tb\t\x01\n"})
+    EXPECT_EQ(platform::rows_of(wrong), std::nullopt) << wrong;
+  EXPECT_EQ(platform::rows_of(std::string(6'001, 'a')), std::nullopt);
+}
+
+TEST(PlatformPages, LoadReportsByName) {
+  const auto report = platform::read_meter("inflight:7;util:0.61;x0:0.25");
+  ASSERT_TRUE(report);
+  EXPECT_EQ(report->held, 7);
+  EXPECT_EQ(report->cpu_share, 0.61);
+  EXPECT_EQ(report->memory_share, 0.25);
+  for (const char* wrong : {"", ":", "inflight", "inflight:", "inflight:nan", "inflight:-1", "other:3", "inflight:1x"})
+    EXPECT_FALSE(platform::read_meter(wrong)) << wrong;
+}
+
+TEST(PlatformSql, TheGroupIsTheSchemasNumber) {
+  using sql::table_group;
+  EXPECT_EQ(table_group("SELECT day FROM sales_17.orders WHERE tag = 'x_9.y'"), 17);
+  EXPECT_EQ(table_group("/* a_1.b */ SELECT 1 -- c_2.d\n FROM \"sales_8\".\"orders\""), 8);
+  EXPECT_EQ(table_group("INSERT INTO staging.x SELECT * FROM sales_3.orders"), 3);
+  EXPECT_EQ(table_group("INSERT INTO sales_4.x SELECT * FROM staging.orders"), 4);
+  EXPECT_EQ(table_group("SELECT * FROM archive.my_sales_21.orders o"), 21);
+  EXPECT_EQ(table_group("SELECT 1"), -1);
+  EXPECT_EQ(table_group("SELECT * FROM sales.orders"), -1);
+}
+
+TEST(PlatformDescriptors, AllPartsFitUnderTheLimit) {
+  for (const size_t limit : {256, 384, 512, 1024}) {
+    const auto budget = platform::DescriptorBudget::of(limit);
+    EXPECT_LE(budget.clients + budget.nodes + 24, limit);
+    EXPECT_GE(budget.clients, limit / 3);
+    EXPECT_LE(budget.per_node(9) * 9, budget.nodes);
+  }
+}
+
+// ---- Configuration and change log --------------------------------------------------------------------------
+
+const char* const kConfig = R"({"name":"n3","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964",
+ "limits":{"cores":0.5,"memory_mb":64,"sockets":256},"changelog":"10.2.0.1:8500",
+ "known":{"seq":3,"results":[{"seq":3,"fleet":{"seq":7,"whole":true,"hosts":[
+   {"host":"s-1","dial":"10.1.0.9:10080","site":"east","class":"big","block":2,"health":"ready","share":4,"born_ms":0},
+   {"host":"s-2","dial":"10.1.0.8:10080","site":"west","class":"std","block":1,"health":"draining","share":1.5,
+    "born_ms":1700000000123}]}}]},
+ "settings":{"Zones":["west","east"],"Flavors":["std","big"],"Instances":3,"TickUs":1000,
+  "Limits":{"Cancel":true,"DialTimeoutUs":200000},"Extra":{"ThreadsByClass":[1,4],"Notes":"a, b"},
+  "Report":{"Fields":["concurrent","x0"],"Source":"inline"},
+  "Services":[{"Name":"lookup","AimUs":570000,"DeadlineUs":2810000,"Worth":1.0},
+              {"Name":"report","AimUs":750000,"DeadlineUs":5620000,"Worth":5.0}]}})";
+
+TEST(PlatformConfig, IsReadByParseSettings) {
+  const platform::PlatformConfig c = platform::parse_config(kConfig);
+  EXPECT_EQ(c.seed, 0x8c1f30d27a5be964u);
+  EXPECT_EQ(c.sockets, 256u);
+  EXPECT_EQ(c.dial_timeout_us, 200'000);
+  ASSERT_EQ(c.settings.classes.size(), 2u);
+  EXPECT_EQ(c.settings.classes[1].threads, 4);
+  EXPECT_EQ(c.settings.classes[1].worth, 5);
+  EXPECT_EQ(c.settings.instances, 3);
+  EXPECT_TRUE(c.settings.may_cancel);
+  EXPECT_EQ(c.names.classes, (std::vector<std::string>{"lookup", "report"}));
+  ASSERT_EQ(c.known.size(), 1u);
+  const auto& nodes = c.known[0].nodes;
+  EXPECT_EQ(nodes[0].node.zone, 1);
+  EXPECT_EQ(nodes[0].node.kind, 1);
+  EXPECT_EQ(nodes[1].node.state, EngineState::kDraining);
+  EXPECT_EQ(nodes[1].node.started_us, 1700000000123000);
+}
+
+TEST(PlatformConfig, WhatIsWrongIsNamed) {
+  const auto fails = [](const std::string& from, const std::string& to) {
+    std::string text = kConfig;
+    const size_t at = text.find(from);
+    EXPECT_NE(at, std::string::npos) << from;
+    text.replace(at, from.size(), to);
+    EXPECT_THROW(platform::parse_config(text), platform::ConfigError) << to;
+  };
+  fails(R"("seed":"8c1f30d27a5be964")", R"("seed":"x")");
+  fails(R"("sockets":256)", R"("sockets":-1)");
+  fails(R"("health":"ready")", R"("health":"well")");
+  fails(R"("AimUs":570000)", R"("AimUs":"soon")");
+  fails(R"("name":"n3",)", R"()");
+  fails(R"("hosts":[)", R"("hosts":[7,)");
+  EXPECT_THROW(platform::parse_config(std::string(100, '[')), platform::ConfigError);
+  EXPECT_THROW(platform::parse_config(""), platform::ConfigError);
+}
+
+TEST(PlatformChangeLog, EventsCountOnceAndInOrderFromAnyPieces) {
+  const std::string text = R"({"seq":4,"fleet":{"whole":false,"hosts":[{"host":"s-1","health":"gone"}]}})"
+                           "\n4\n"
+                           R"({"seq":4,"fleet":{"whole":false,"hosts":[{"host":"s-9","health":"gone"}]}})"
+                           "\n"
+                           R"({"seq":5,"invalidate":{}})"
+                           "\n5\n";
+  for (size_t step = 1; step < 90; step += 11) {
+    ChangeSequence sequence(3, {});
+    std::vector<uint64_t> applied;
+    bool good = true;
+    for (size_t at = 0; at < text.size(); at += step)
+      good = good && sequence.feed(std::string_view(text).substr(at, step),
+                                   [&](const ChangeEvent& e) { applied.push_back(e.seq); });
+    EXPECT_TRUE(good);
+    EXPECT_EQ(applied, (std::vector<uint64_t>{4, 5}));
+    EXPECT_EQ(sequence.last(), 5u);
+  }
+  // A gap, a number that is ahead, what can't be read, a line that never ends: ask again.
+  for (const std::string wrong : {"{\"seq\":9}\n", "7\n", "{\"seq\":4\n", "x\n", "{\"seq\":\"4\"}\n"}) {
+    ChangeSequence sequence(3, {});
+    EXPECT_FALSE(sequence.feed(wrong, [](const ChangeEvent&) { FAIL(); })) << wrong;
+    EXPECT_EQ(sequence.last(), 3u);
+  }
+  ChangeSequence sequence(3, {});
+  bool good = true;
+  size_t fed = 0;
+  for (; good && fed < 100; ++fed) good = sequence.feed(std::string(1 << 20, 'x'), [](const ChangeEvent&) {});
+  EXPECT_LT(fed, 20u);
+}
+
+// The log breaks off within an event, tells events twice, stops and moves: the list is whole all the same.
+TEST(PlatformChangeLog, IsFollowedThroughBreaksSilenceAndAMove) {
+  sim::Account account;
+  sim::World world(7, account);
+  sim::Streams streams(world, {});
+  const auto server = sim::Actor::make(world, "log"), gateway = sim::Actor::make(world, "gateway");
+  SimDialer net(world, streams, gateway);
+  std::vector<std::string> events;
+  const auto say = [&](int seq) {
+    events.push_back(R"({"seq":)" + std::to_string(seq) + R"(,"fleet":{"whole":false,"hosts":[{"host":"n)" +
+                     std::to_string(seq) + R"(","dial":"1.2.3.4:5","health":"ready"}]}})" + "\n");
+  };
+  enum class Mood { kCutsOff, kTwice, kSilent, kFair } mood = Mood::kCutsOff;
+  int asked = 0, asked_new = 0;
+  const auto serve = [&](std::shared_ptr<rpc::ByteStream> s) -> rpc::Awaitable<void> {
+    ++asked;
+    const std::optional<std::string> ask = co_await s->read(100);
+    if (!ask || !ask->starts_with("since ")) co_return;
+    const size_t since = std::stoul(ask->substr(6));
+    std::string text;
+    for (size_t i = since - 3; i < events.size(); ++i) {
+      text += events[i];
+      if (mood == Mood::kTwice) text += events[i];
+    }
+    if (mood == Mood::kCutsOff) text.resize(text.size() - std::min<size_t>(text.size(), 10));
+    if (mood != Mood::kSilent) co_await rpc::write_all(*s, text);
+    if (mood == Mood::kCutsOff) co_return;
+    for (int beats = 0; mood != Mood::kSilent && beats < 30; ++beats) {
+      co_await rpc::write_all(*s, std::to_string(3 + events.size()) + "\n");
+      co_await pause(*server, kSecond);
+    }
+    co_await pause(*server, 60 * kSecond);
+  };
+  streams.listen("10.2.0.1:8500", server, serve);
+  streams.listen("10.2.0.2:8500", server, [&](auto s) -> rpc::Awaitable<void> {
+    ++asked_new;
+    co_await serve(std::move(s));
+  });
+  NullLog log;
+  std::vector<config::NodeConfig> nodes;
+  platform::PlatformConfig config = platform::parse_config(kConfig);
+  const auto follow = std::make_unique<platform::ChangeLog>(
+      net, *gateway, log, [&](const std::vector<config::NodeConfig>& told) { nodes = told; });
+  auto& changes = *follow;
+  changes.start(config);
+  EXPECT_EQ(nodes.size(), 2u);
+  say(4);
+  world.settle();
+  world.run_until(world.now() + kSecond);
+  EXPECT_EQ(nodes.size(), 2u);  // only ever part of the event
+  EXPECT_GE(asked, 2);
+  mood = Mood::kTwice;
+  world.run_until(world.now() + kSecond);
+  EXPECT_EQ(nodes.size(), 3u);
+  // A heartbeat tells of an event that never came.
+  say(5);
+  world.run_until(world.now() + 3 * kSecond);
+  EXPECT_EQ(nodes.size(), 4u);
+  // Silence on a connection that stands.
+  mood = Mood::kSilent;
+  world.run_until(world.now() + 3 * kSecond);
+  say(6);
+  const int before = asked;
+  mood = Mood::kFair;
+  world.run_until(world.now() + 3 * kSecond);
+  EXPECT_GT(asked, before);
+  EXPECT_EQ(nodes.size(), 5u);
+  say(7);
+  config.changelog = "10.2.0.2:8500";
+  changes.move(config);
+  world.run_until(world.now() + kSecond);
+  EXPECT_GE(asked_new, 1);
+  EXPECT_EQ(nodes.size(), 6u);
+  streams.unlisten("10.2.0.1:8500");
+  streams.unlisten("10.2.0.2:8500");
+}
+
+}  // namespace
+}  // namespace sablelink::test
--- a/tests/stream_test.cpp
+++ b/tests/stream_test.cpp
@@ -7,6 +7,7 @@
 #include <thread>
 
 #include "base/signal.h"
+#include "rpc/asio_loop.h"
 #include "rpc/byte_stream.h"
 #include "rpc/grpc_loop.h"
 #include "rpc/tcp_stream.h"
@@ -55,6 +56,37 @@
   std::unique_ptr<rpc::TcpNet> net_ = std::make_unique<rpc::TcpNet>(strand());
 };
 
+// On a loop of Asio's own, which waits for the sockets itself.
+class LoopStreams : public StreamNet {
+ public:
+  ~LoopStreams() override {
+    net_.reset();
+    loop_.poll();  // what still waits hears of its end
+  }
+  std::string serve(rpc::StreamHandler handler) override {
+    return "127.0.0.1:" + std::to_string(net_->listen("127.0.0.1:0", std::move(handler)));
+  }
+  Awaitable<StreamPtr> connect(std::string address) override { return net_->connect(address, 5 * kSecond); }
+  std::string unused_address() override {
+    rpc::TcpNet other(loop_);
+    const int port = other.listen("127.0.0.1:0", [](StreamPtr) -> Awaitable<void> { co_return; });
+    return "127.0.0.1:" + std::to_string(port);
+  }
+  Clock& clock() override { return loop_; }
+  void run(Awaitable<void> work) override {
+    boost::asio::co_spawn(loop_.executor(), std::move(work), [this](const std::exception_ptr& error) {
+      loop_.stop();
+      if (error) std::rethrow_exception(error);
+    });
+    loop_.run();
+  }
+
+ private:
+  rpc::AsioLoop loop_{[] { return std::chrono::system_clock::now(); },
+                      [] { return std::chrono::steady_clock::now(); }};
+  std::unique_ptr<rpc::TcpNet> net_ = std::make_unique<rpc::TcpNet>(loop_);
+};
+
 class SimStreams : public StreamNet {
  public:
   ~SimStreams() override {
@@ -79,13 +111,15 @@
   std::shared_ptr<sim::Actor> client_ = sim::Actor::make(world_, "client");
 };
 
-enum class Kind { kTcp, kSim };
+enum class Kind { kTcp, kLoop, kSim };
 
 class StreamTest : public testing::TestWithParam<Kind> {
  protected:
   StreamTest() {
     if (GetParam() == Kind::kTcp)
       net_ = std::make_unique<TcpStreams>();
+    else if (GetParam() == Kind::kLoop)
+      net_ = std::make_unique<LoopStreams>();
     else
       net_ = std::make_unique<SimStreams>();
   }
@@ -211,8 +245,12 @@
   EXPECT_TRUE(let_go);
 }
 
-INSTANTIATE_TEST_SUITE_P(Both, StreamTest, testing::Values(Kind::kTcp, Kind::kSim),
-                         [](const auto& kind) { return kind.param == Kind::kTcp ? "Tcp" : "Sim"; });
+INSTANTIATE_TEST_SUITE_P(All, StreamTest, testing::Values(Kind::kTcp, Kind::kLoop, Kind::kSim),
+                         [](const auto& kind) {
+                           return kind.param == Kind::kTcp    ? "Tcp"
+                                  : kind.param == Kind::kLoop ? "Loop"
+                                                              : "Sim";
+                         });
 
 // Both sides hear of it, whatever they wait for.
 TEST(Streams, AResetBreaksBothSides) {
