Requests that err on several engines blame none and are over; figures must be numbers

A trace of each 500 with its request (1,080 of them) showed some 215 requests of bad clients, well formed but of ids that no node knows, each tried six times on three to five engines within 20 ms.

Cause: learn_health in policy.cpp took every error for the engine's. Now an error is held back until the request's next attempts tell: answered elsewhere, or 100 ms without a further error, and the engines are to blame as before; wrong on three engines (all, where there are fewer) it is the request's own, which is concluded at once. Further attempts avoid every engine that erred. The front turns away figures of milliseconds or megabytes that are no numbers.

--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -36,7 +36,8 @@
 
   auto* const serve = app.add_subcommand("serve", "A gateway on the users' platform");
   bool on_platform = false;
-  serve->add_flag("--platform", on_platform, "By the platform's protocol, as BALANCER_CONFIG tells")->required();
+  serve->add_flag("--platform", on_platform, "By the platform's protocol, as BALANCER_CONFIG tells")
+      ->required();
 
   auto* const node = app.add_subcommand("node", "A stand-in node, as its configuration tells");
   node->add_option("--config", config, "The configuration")->required();
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -1,8 +1,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
-#include <cstdlib>
 #include <cstdio>
+#include <cstdlib>
 #include <fstream>
 #include <iterator>
 #include <sstream>
--- a/src/http/reader.cpp
+++ b/src/http/reader.cpp
@@ -153,7 +153,8 @@
     if (a == std::string_view::npos || a == b) return bad(400, "the first line is no request");
     const std::string_view method = text.substr(0, a), target = text.substr(a + 1, b - a - 1),
                            version = text.substr(b + 1);
-    if (!is_token(method) || target.empty() || !is_plain(target)) return bad(400, "the first line is no request");
+    if (!is_token(method) || target.empty() || !is_plain(target))
+      return bad(400, "the first line is no request");
     if (version != "HTTP/1.1" && version != "HTTP/1.0") {
       return version.starts_with("HTTP/") ? bad(505, "the version is not HTTP/1.1")
                                           : bad(400, "the first line is no request");
@@ -176,7 +177,8 @@
 
 ReadState Reader::field(std::string_view text) {
   const size_t colon = text.find(':');
-  if (colon == std::string_view::npos || !is_token(text.substr(0, colon))) return bad(400, "a field can't be read");
+  if (colon == std::string_view::npos || !is_token(text.substr(0, colon)))
+    return bad(400, "a field can't be read");
   const std::string_view value = trimmed(text.substr(colon + 1));
   for (const unsigned char c : value)
     if ((c < 0x20 && c != '\t') || c == 0x7f) return bad(400, "a field's value can't be read");
--- a/src/platform/change_log.cpp
+++ b/src/platform/change_log.cpp
@@ -11,8 +11,8 @@
 namespace sablelink::platform {
 namespace {
 
-constexpr size_t kMostLine = 8u << 20;       // a whole list of 20,000 nodes has room
-constexpr TimeUs kSilenceUs = 1'700'000;     // heartbeats come each second
+constexpr size_t kMostLine = 8u << 20;    // a whole list of 20,000 nodes has room
+constexpr TimeUs kSilenceUs = 1'700'000;  // heartbeats come each second
 constexpr TimeUs kDialUs = 500'000;
 constexpr TimeUs kFirstPauseUs = 20'000, kMostPauseUs = 400'000;  // between tries to connect
 constexpr size_t kPiece = 16 << 10;
--- a/src/platform/change_log.h
+++ b/src/platform/change_log.h
@@ -22,8 +22,8 @@
   ChangeSequence(uint64_t last, const Names& names) : last_(last), names_(names) {}
 
   enum class Line {
-    kApply,   // event() is the next one
-    kPassed,  // a heartbeat, or an event known already
+    kApply,    // event() is the next one
+    kPassed,   // a heartbeat, or an event known already
     kAskAgain  // what can't be read, or a gap: the connection's text is no longer trusted
   };
   uint64_t last() const { return last_; }
--- a/src/platform/config.cpp
+++ b/src/platform/config.cpp
@@ -51,8 +51,7 @@
 
 double number_at(const json::object& in, const char* key, double least, double most) {
   const std::optional<double> n = number_of(in.if_contains(key));
-  if (!n || *n < least || *n > most)
-    throw ConfigError(std::string(key) + " is missing or out of range");
+  if (!n || *n < least || *n > most) throw ConfigError(std::string(key) + " is missing or out of range");
   return *n;
 }
 
@@ -150,8 +149,10 @@
     ChangeEvent::Node node;
     node.node.name = string_at(h, "host");
     const std::string health = string_at(h, "health");
-    if (health == "gone") node.gone = true;
-    else if (health != "ready" && health != "draining") throw ConfigError("health '" + health + "' is unknown");
+    if (health == "gone")
+      node.gone = true;
+    else if (health != "ready" && health != "draining")
+      throw ConfigError("health '" + health + "' is unknown");
     node.node.state = health == "ready"      ? EngineState::kReady
                       : health == "draining" ? EngineState::kDraining
                                              : EngineState::kGone;
@@ -219,7 +220,8 @@
   config.known_seq = static_cast<uint64_t>(number_at(known, "seq", 0, 9e15));
   if (const json::value* results = known.if_contains("results"); results != nullptr) {
     if (!results->is_array()) throw ConfigError("results is no list");
-    for (const json::value& event : results->get_array()) config.known.push_back(read_event(event, config.names));
+    for (const json::value& event : results->get_array())
+      config.known.push_back(read_event(event, config.names));
   }
   return config;
 }
--- a/src/platform/config.h
+++ b/src/platform/config.h
@@ -44,7 +44,7 @@
   std::vector<ChangeEvent> known;
   Settings settings;
   Names names;
-  TimeUs dial_timeout_us = 250'000;  // a node without a connection by then can't be reached
+  TimeUs dial_timeout_us = 250'000;   // a node without a connection by then can't be reached
   TimeUs idle_close_us = 15'000'000;  // nodes close connections that are idle for this long
 };
 
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -11,7 +11,8 @@
 namespace sablelink::platform {
 namespace {
 
-constexpr TimeUs kCallUs = 2'500'000;    // a call has to be whole within that, from its connection or first byte
+constexpr TimeUs kCallUs =
+    2'500'000;  // a call has to be whole within that, from its connection or first byte
 constexpr TimeUs kIdleUs = 5'000'000;    // clients close idle connections after 4 s; some never do
 constexpr TimeUs kWriteUs = 5'000'000;   // a client that takes no answer for so long is gone
 constexpr TimeUs kLingerUs = 1'000'000;  // for a client to read why it is turned away, while it still sends
@@ -19,12 +20,11 @@
 constexpr TimeUs kSweepUs = 100'000;
 constexpr TimeUs kLeastPatienceUs = 1'000;
 constexpr TimeUs kPatienceSlackUs = 1'000'000;  // over the class's patience, before a wait is out of range
+constexpr long long kMostFigure = 1'000'000'000;
 constexpr size_t kPiece = 8 << 10;
 constexpr size_t kBacklog = 16 << 10;  // bytes of calls that came before the answer to the one before
 
-std::string failure(std::string_view word) {
-  return R"({"failure":")" + std::string(word) + "\"}";
-}
+std::string failure(std::string_view word) { return R"({"failure":")" + std::string(word) + "\"}"; }
 
 bool is_id(std::string_view id) {
   return id.size() == 16 && std::all_of(id.begin(), id.end(), [](char c) {
@@ -43,7 +43,8 @@
   };
   constexpr std::string_view kPath = "/v1/";
   if (!request.target.starts_with(kPath)) return wrong(404, "no such path");
-  const auto cls = std::find(options.classes.begin(), options.classes.end(), request.target.substr(kPath.size()));
+  const auto cls =
+      std::find(options.classes.begin(), options.classes.end(), request.target.substr(kPath.size()));
   if (cls == options.classes.end()) return wrong(404, "no such class");
   if (request.method != "POST") return wrong(405, "statements come by POST");
   call.cls = static_cast<int>(cls - options.classes.begin());
@@ -59,6 +60,10 @@
     if (http::find(request.fields, "x-retry") != "1") return wrong(400, "X-Retry is not 1");
     call.repeat = true;
   }
+  // A field that ends in its unit holds a number of it, also where this gateway has no use for the figure.
+  for (const auto& [name, value] : request.fields)
+    if ((name.ends_with("-ms") || name.ends_with("-mb")) && http::whole_number(value, kMostFigure) < 0)
+      return wrong(400, "a field of milliseconds or megabytes holds no number");
   if (request.body.empty()) return wrong(400, "there is no statement");
   if (!is_text(request.body)) return wrong(400, "the statement is no text");
   return call;
@@ -70,7 +75,10 @@
   enum class Stage { kReading, kOpen, kWriting, kLingering, kClosed };
 
   Connection(Front& front, std::shared_ptr<rpc::ByteStream> stream)
-      : front_(front), stream_(std::move(stream)), reader_(limits(front.options_)), since_(front.clock_.now()) {}
+      : front_(front),
+        stream_(std::move(stream)),
+        reader_(limits(front.options_)),
+        since_(front.clock_.now()) {}
 
   static http::ReadLimits limits(const FrontOptions& options) {
     http::ReadLimits limits;
@@ -297,11 +305,11 @@
   std::shared_ptr<Connection> victim;
   int worst = 0;
   for (const auto& c : connections_) {
-    const int rank = c->stage() == Connection::Stage::kLingering                             ? 4
-                     : c->stage() == Connection::Stage::kReading && !c->served()             ? 3
-                     : c->stage() == Connection::Stage::kReading && c->silent()              ? 2
-                     : c->stage() == Connection::Stage::kReading                             ? 1
-                                                                                             : 0;
+    const int rank = c->stage() == Connection::Stage::kLingering                 ? 4
+                     : c->stage() == Connection::Stage::kReading && !c->served() ? 3
+                     : c->stage() == Connection::Stage::kReading && c->silent()  ? 2
+                     : c->stage() == Connection::Stage::kReading                 ? 1
+                                                                                 : 0;
     if (rank > worst || (rank > 0 && rank == worst && c->since() < victim->since())) {
       worst = rank;
       victim = c;
--- a/src/platform/front.h
+++ b/src/platform/front.h
@@ -1,6 +1,6 @@
-// The platform's clients: one call at a time on each connection, each a statement that is answered as a whole.
-// What can't be read, or isn't a call that a client may make, gets an error and, where framing is lost, a
-// close; a connection that brings no whole call in time is closed.
+// The platform's clients: one call at a time on each connection, each a statement that is answered as a
+// whole. What can't be read, or isn't a call that a client may make, gets an error and, where framing is
+// lost, a close; a connection that brings no whole call in time is closed.
 #pragma once
 
 #include <cstdint>
--- a/src/platform/node_client.cpp
+++ b/src/platform/node_client.cpp
@@ -12,9 +12,9 @@
 namespace sablelink::platform {
 namespace {
 
-constexpr TimeUs kHoldUs = 250'000;         // a node holds a call for news that long
-constexpr TimeUs kForgetUs = 2'000'000;     // a query that nobody asks for that long is let go by its node
-constexpr TimeUs kCallUs = 450'000;         // a call without an answer by then won't get one; beyond any hold
+constexpr TimeUs kHoldUs = 250'000;      // a node holds a call for news that long
+constexpr TimeUs kForgetUs = 2'000'000;  // a query that nobody asks for that long is let go by its node
+constexpr TimeUs kCallUs = 450'000;      // a call without an answer by then won't get one; beyond any hold
 constexpr TimeUs kSweepUs = 25'000;
 // A connection rests that long after an answer, so that a second copy of it shows before the next call.
 constexpr TimeUs kRestUs = 5'000;
@@ -360,7 +360,8 @@
       co_return;
     }
     if (state == http::ReadState::kMore) continue;
-    const bool reusable = !ended && !connection->reader.has_rest() && connection->reader.response().keep_alive;
+    const bool reusable =
+        !ended && !connection->reader.has_rest() && connection->reader.response().keep_alive;
     const http::Response response = connection->reader.take();
     Call call = std::move(*connection->call);
     connection->call.reset();
@@ -398,9 +399,7 @@
 void NodeClient::dial_failed(const NodePtr& node, rpc::ConnectEnd end_of_dial) {
   const bool dead = end_of_dial == rpc::ConnectEnd::kRefused;
   ++(dead ? counts_.refused : counts_.dial_timeouts);
-  const auto take = [&](Kind kind) {
-    return std::exchange(node->waiting[static_cast<int>(kind)], {});
-  };
+  const auto take = [&](Kind kind) { return std::exchange(node->waiting[static_cast<int>(kind)], {}); };
   if (dead || node->connections.empty())
     for (const Call& call : take(Kind::kPost)) end(call.query, Outcome::kConnectFailed);
   if (dead) {
@@ -523,7 +522,8 @@
     const NodePtr node = (it++)->second;
     std::vector<ConnectionPtr> over;
     for (const ConnectionPtr& c : node->connections)
-      if (c->call ? now >= c->due_at : now - c->idle_since > options_.idle_close_us * 3 / 5) over.push_back(c);
+      if (c->call ? now >= c->due_at : now - c->idle_since > options_.idle_close_us * 3 / 5)
+        over.push_back(c);
     for (const ConnectionPtr& c : over) {
       if (c->closed) continue;
       if (!c->call) {
--- a/src/platform/node_client.h
+++ b/src/platform/node_client.h
@@ -2,9 +2,9 @@
 // connection was asked for is asked for again on another, and only what the node itself tells, or its death,
 // ends an attempt.
 //
-// Each node has a few connections, one call at a time on each. Calls wait by kind: giving up, starting, pages,
-// news. An attempt that may still be out there holds back the next one of its request until the node has
-// confirmed that it is given up, or must have let go of it by itself.
+// Each node has a few connections, one call at a time on each. Calls wait by kind: giving up, starting,
+// pages, news. An attempt that may still be out there holds back the next one of its request until the node
+// has confirmed that it is given up, or must have let go of it by itself.
 #pragma once
 
 #include <cstdint>
@@ -71,7 +71,7 @@
     TimeUs made_at = 0;
     TimeUs asked_at = 0;  // a call for it left last; 0: none has, and none may have reached the node
     bool over = false;
-    int breaks = 0;  // calls in a row that came to nothing
+    int breaks = 0;         // calls in a row that came to nothing
     bool doubtful = false;  // its start broke off: it is not known to have arrived
     carrier::AttemptResult result;
     std::vector<std::optional<std::string>> pages;  // rows
@@ -89,8 +89,8 @@
     std::shared_ptr<rpc::ByteStream> stream;
     http::ResponseReader reader;
     std::optional<Call> call;
-    TimeUs due_at = 0;       // of the call
-    TimeUs free_at = 0;      // takes no call before
+    TimeUs due_at = 0;   // of the call
+    TimeUs free_at = 0;  // takes no call before
     TimeUs idle_since = 0;
     bool closed = false;
     explicit Connection(const http::ReadLimits& limits) : reader(limits) {}
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -56,6 +56,8 @@
 constexpr int kHeavyAfterTold = 2, kHeavyAfterUntold = 1;  // slow attempts that prove a query itself heavy
 
 constexpr double kErrRate = 0.2, kErrEject = 0.35;  // weight of an outcome in the failure share; ejects from
+constexpr size_t kErrProves = 3;          // engines that answer a request with an error: it is the request's
+constexpr TimeUs kErrDoubtUs = 100 * kMs;  // ... that long after its last error it is the engines'
 constexpr TimeUs kSilenceUs = 1200 * kMs;  // no sign of life for this long with overdue work: it hangs
 constexpr TimeUs kEjectUs = 1500 * kMs, kEjectMostUs = 6 * kSecond;  // first rest once ejected; doubles up to
 constexpr int kTrialOks = 3;                   // answers in a row that bring an ejected engine back
@@ -289,7 +291,7 @@
     bool later = false;
     for (int pass = 0; pass < 2 && options.empty(); ++pass)
       for (auto& [id, e] : engines_) {
-        if (pass == 0 && id == q.avoid) continue;  // elsewhere first after an attempt went wrong
+        if (pass == 0 && (id == q.avoid || erred_on(q, id))) continue;  // elsewhere first after a wrong one
         if (!allowed_target(q, e) || !effect_safe(q, e)) continue;  // no wait changes these
         if (may_send(q, e) && in_service(q, e)) options.emplace_back(&e, evaluate(e, q));
         else later = true;
@@ -536,7 +538,10 @@
 
   void retry_or_conclude(Query& q) {
     const TimeUs left = last_use(q) - now_;
-    return q.attempts >= s_.max_attempts || !within_budget(q) || left <= 0 ? conclude(q) : place(q);
+    if (at_fault(q)) q.erred.clear();
+    else if (q.attempts < s_.max_attempts && within_budget(q) && left > 0) return place(q);
+    settle_errors(q);
+    conclude(q);
   }
 
   // An attempt far past its expectation: its plan is taken for bad, unless the query is heavy in itself.
@@ -611,6 +616,39 @@
     }
   }
 
+  // An error is the engine's fault or the request's own, which the other engines tell: the request that goes
+  // wrong on several blames none, and is over. Else a flood of such requests would take the fleet out.
+  void learn_error(Query& q, Engine& e) {
+    e.life_at = now_;
+    if (!erred_on(q, e.entry.engine)) q.erred.push_back(e.entry.engine);
+    q.erred_at = now_;
+  }
+
+  static bool erred_on(const Query& q, EngineId id) {
+    return std::find(q.erred.begin(), q.erred.end(), id) != q.erred.end();
+  }
+
+  bool at_fault(const Query& q) const {
+    size_t ready = 0;
+    for (const auto& [id, e] : engines_) ready += allowed_target(q, e);
+    return q.erred.size() >= std::max<size_t>(2, std::min(kErrProves, ready));
+  }
+
+  void settle_errors(Query& q) {
+    std::vector<EngineId> erred;
+    erred.swap(q.erred);
+    for (const EngineId id : erred)
+      if (const auto it = engines_.find(id); it != engines_.end()) learn_health(it->second, Outcome::kError);
+  }
+
+  void settle_doubted() {
+    std::vector<RequestId> doubted;
+    for (const auto& [id, q] : queries_)
+      if (!q.erred.empty() && now_ - q.erred_at > kErrDoubtUs) doubted.push_back(id);
+    for (const RequestId id : doubted)  // one may end others, as engines are taken out
+      if (const auto it = queries_.find(id); it != queries_.end()) settle_errors(it->second);
+  }
+
   // One look at all attempts that are out. Cancels bad plans and lost answers, none where so many are late
   // that the slowdown must be shared; takes out engines that show no sign of life. One late attempt proves
   // little where a gateway has few on each engine, so it takes an engine out only while few others are late.
@@ -880,7 +918,9 @@
     }
     if (end.outcome == Outcome::kOk) learn_answer(q, e, end);
     if (end.outcome == Outcome::kCancelled || end.outcome == Outcome::kTimeout) learn_cut(q, e, end.took_us);
-    learn_health(e, end.outcome);
+    if (end.outcome == Outcome::kError) learn_error(q, e);
+    else learn_health(e, end.outcome);
+    if (end.outcome == Outcome::kOk || q.finished || end.request_over) settle_errors(q);
     q.avoid = end.outcome == Outcome::kOk ? 0 : end.engine;
     if (end.request_over || q.finished || end.outcome == Outcome::kOk) {
       q.finished = true;
@@ -939,6 +979,7 @@
     act_->set_timer(kHousekeepingUs, kHousekeepingToken);
     refresh_fleet();
     end_hopeless();
+    settle_doubted();
     if (now_ != woke_at_) check_attempts();  // after a stall, what came in the meantime is read first
     for (auto& [id, e] : engines_) pump(e);
     std::vector<Engine*> sources;
--- a/src/rpc/tcp_stream.cpp
+++ b/src/rpc/tcp_stream.cpp
@@ -20,7 +20,7 @@
 
 namespace {
 
-constexpr size_t kPiece = 64 << 10;  // most bytes of one read or write
+constexpr size_t kPiece = 64 << 10;                           // most bytes of one read or write
 constexpr auto kAcceptPause = std::chrono::milliseconds(20);  // after an accept that failed: no busy loop
 
 // Numbers alone: names are resolved by whoever configures addresses.
@@ -206,7 +206,8 @@
       thread_([this] { context_.run(); }) {}
 
 TcpNet::TcpNet(AsioLoop& loop)
-    : strand_{loop.executor(), [](const std::function<void()>& fn) { fn(); }, loop}, context_(loop.context()) {}
+    : strand_{loop.executor(), [](const std::function<void()>& fn) { fn(); }, loop},
+      context_(loop.context()) {}
 
 TcpNet::~TcpNet() {
   if (!own_) {
@@ -280,11 +281,11 @@
   co_await op->done.wait();
   *over = true;
   if (end != nullptr)
-    *end = !op->error                                       ? ConnectEnd::kConnected
-           : op->error == asio::error::connection_refused   ? ConnectEnd::kRefused
-           : op->error == asio::error::operation_aborted ||
-                   op->error == asio::error::timed_out      ? ConnectEnd::kTimeout
-                                                            : ConnectEnd::kFailed;
+    *end = !op->error                                     ? ConnectEnd::kConnected
+           : op->error == asio::error::connection_refused ? ConnectEnd::kRefused
+           : op->error == asio::error::operation_aborted || op->error == asio::error::timed_out
+               ? ConnectEnd::kTimeout
+               : ConnectEnd::kFailed;
   if (op->error) co_return nullptr;
   on_context([socket] { socket->set_up(); });
   co_return std::make_shared<Held>(socket);
--- a/src/rpc/tcp_stream.h
+++ b/src/rpc/tcp_stream.h
@@ -31,8 +31,8 @@
   explicit TcpNet(Strand strand);
   // On the loop's own thread, with no other. Made and ended while the loop doesn't run, or on it.
   explicit TcpNet(AsioLoop& loop);
-  // Closes every socket. With a thread of its own it waits until whoever waited for one was told, and must not
-  // be on the strand; on an AsioLoop they are told as that runs on.
+  // Closes every socket. With a thread of its own it waits until whoever waited for one was told, and must
+  // not be on the strand; on an AsioLoop they are told as that runs on.
   ~TcpNet() override;
   TcpNet(const TcpNet&) = delete;
   TcpNet& operator=(const TcpNet&) = delete;
--- a/src/service/platform_service.cpp
+++ b/src/service/platform_service.cpp
@@ -45,8 +45,8 @@
   nodes_ = std::make_unique<platform::NodeClient>(to_nodes, *net_, loop_, *log_, directory_);
   carrier::CarrierLimits limits;
   limits.hold_bytes_all = (config_.memory_mb << 20) / kHeldShare;
-  carrier_ = std::make_unique<carrier::Carrier>(config_.settings, config_.seed, limits, loop_, *nodes_, *lists_,
-                                                *log_);
+  carrier_ = std::make_unique<carrier::Carrier>(config_.settings, config_.seed, limits, loop_, *nodes_,
+                                                *lists_, *log_);
   nodes_->set_carrier(carrier_.get());
   platform::FrontOptions to_clients;
   to_clients.classes = config_.names.classes;
@@ -59,8 +59,9 @@
     carrier_->start();
     changes_->start(config_);
   });
-  port_ = net_->listen(config_.listen,
-                       [this](std::shared_ptr<rpc::ByteStream> stream) { return front_->serve(std::move(stream)); });
+  port_ = net_->listen(config_.listen, [this](std::shared_ptr<rpc::ByteStream> stream) {
+    return front_->serve(std::move(stream));
+  });
   log_->info("started", {{"name", config_.name},
                          {"listen", config_.listen},
                          {"port", std::to_string(port_)},
@@ -82,7 +83,8 @@
 void PlatformService::told(const std::vector<config::NodeConfig>& nodes) {
   directory_.replace(nodes);
   nodes_->nodes_changed();
-  carrier_->set_list(std::exchange(started_, true) ? ListForm::kFull : ListForm::kCached, directory_.entries());
+  carrier_->set_list(std::exchange(started_, true) ? ListForm::kFull : ListForm::kCached,
+                     directory_.entries());
 }
 
 void PlatformService::reload(const platform::PlatformConfig& config) {
--- a/src/state.h
+++ b/src/state.h
@@ -28,6 +28,8 @@
   TimeUs sent_at = 0;
   TimeUs foretold_us = 0;    // whole time of the running attempt by its progress notes; 0: no note
   EngineId avoid = 0;        // where the last attempt went wrong
+  std::vector<EngineId> erred;  // engines that answered it with an error and are not yet held to blame
+  TimeUs erred_at = 0;          // the last of these errors
   Engine* engine = nullptr;  // queued or running there
   TimeUs probes_until = 0;   // answers to the probes sent for it are waited for until then; 0: none sent
 };
--- a/tests/fuzz/fuzz.cpp
+++ b/tests/fuzz/fuzz.cpp
@@ -234,7 +234,8 @@
     options.patience_us = {5'000'000};
     const platform::Call call = platform::read_call(r, options);
     if (call.status == 0)
-      check(call.id.size() == 16 && call.patience_us > 0 && call.patience_us <= 6'000'000, "a wrong call is taken");
+      check(call.id.size() == 16 && call.patience_us > 0 && call.patience_us <= 6'000'000,
+            "a wrong call is taken");
     return r.method + " " + r.target + " " + fields(r.fields) + r.body + (r.keep_alive ? "+" : "-");
   };
   const auto response = [&](const http::Response& r) {
@@ -255,7 +256,8 @@
   bool good = a.feed(bytes, [&](const platform::ChangeEvent& e) { whole += std::to_string(e.seq) + ","; });
   bool also = true;
   for (size_t i = 0; also && i < bytes.size(); ++i)
-    also = b.feed(bytes.substr(i, 1), [&](const platform::ChangeEvent& e) { pieces += std::to_string(e.seq) + ","; });
+    also = b.feed(bytes.substr(i, 1),
+                  [&](const platform::ChangeEvent& e) { pieces += std::to_string(e.seq) + ","; });
   check(good == also && whole == pieces && a.last() == b.last(), "events differ by their pieces");
 }
 
@@ -317,41 +319,45 @@
 
   all.push_back(
       {"http",
-       {"POST /v1/lookup HTTP/1.1\r\nX-Request-Id: 9b1f03aa5c7e2d41\r\nX-Timeout-Ms: 1500\r\nContent-Length: 8\r\n\r\n"
+       {"POST /v1/lookup HTTP/1.1\r\nX-Request-Id: 9b1f03aa5c7e2d41\r\nX-Timeout-Ms: 1500\r\nContent-Length: "
+        "8\r\n\r\n"
         "SELECT 1GET /healthz HTTP/1.1\r\n\r\n",
         "POST /v1/lookup HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n8\r\nSELECT 1\r\n0\r\n\r\n",
         "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nPage-Count: 2\r\nContent-Length: 6\r\n\r\na\tb\tc\n",
         "HTTP/1.1 204 No Content\r\n\r\nHTTP/1.1 503 Busy\r\nX-Shed: 1\r\nContent-Length: 0\r\n\r\n"},
-       {"\r\n", "\n", ":", " ", "Content-Length: ", "Transfer-Encoding: chunked\r\n", "0\r\n\r\n", "HTTP/1.1", "-1",
-        "99999999999", "X-Request-Id: ", "Connection: close\r\n"},
+       {"\r\n", "\n", ":", " ", "Content-Length: ", "Transfer-Encoding: chunked\r\n", "0\r\n\r\n", "HTTP/1.1",
+        "-1", "99999999999", "X-Request-Id: ", "Connection: close\r\n"},
        http_target});
-  all.push_back({"change-log",
-                 {"{\"seq\":4,\"fleet\":{\"whole\":false,\"hosts\":[{\"host\":\"a\",\"dial\":\"b\",\"health\":"
-                  "\"ready\",\"site\":\"c\",\"born_ms\":7}]}}\n4\n{\"seq\":5}\n5\n"},
-                 {"\n", "{", "}", "[", "\"", "\"seq\":", "-1", "1e99", "gone", "99999999999999999999"},
-                 change_log_target});
-  all.push_back({"pages",
-                 {"a\t1\tx\nb\t2\t\xe2\x82\xac\n", "inflight:7;util:0.61", "SELECT 1 FROM a_1.b, \"c_2\".d -- x_3.y"},
-                 {"\t", "\n", ";", ":", "_", ".", "\"", "'", "1e400", "\xf0\x9f"},
-                 [](const std::string& text) {
-                   if (const auto rows = platform::rows_of(text)) {
-                     check(platform::is_text(*rows), "rows that are no text");
-                     check(std::count(text.begin(), text.end(), '\n') <= std::count(rows->begin(), rows->end(), '['),
-                           "a row is lost");
-                   }
-                   platform::read_meter(text);
-                   check(sql::table_group(text) >= -1, "a group below none");
-                 }});
-  all.push_back({"platform-config",
-                 {R"({"name":"n","listen":"l","seed":"8c","limits":{"sockets":256},"changelog":"c",)"
-                  R"("known":{"seq":1,"results":[]},"settings":{"Services":[{"Name":"a","AimUs":1,"DeadlineUs":2}]}})"},
-                 {"{", "}", "[", "]", "\"", ",", ":", "null", "1e999", "-1", "true", "\\u0000"},
-                 [](const std::string& text) {
-                   try {
-                     platform::parse_config(text);
-                   } catch (const platform::ConfigError&) {
-                   }
-                 }});
+  all.push_back(
+      {"change-log",
+       {"{\"seq\":4,\"fleet\":{\"whole\":false,\"hosts\":[{\"host\":\"a\",\"dial\":\"b\",\"health\":"
+        "\"ready\",\"site\":\"c\",\"born_ms\":7}]}}\n4\n{\"seq\":5}\n5\n"},
+       {"\n", "{", "}", "[", "\"", "\"seq\":", "-1", "1e99", "gone", "99999999999999999999"},
+       change_log_target});
+  all.push_back(
+      {"pages",
+       {"a\t1\tx\nb\t2\t\xe2\x82\xac\n", "inflight:7;util:0.61", "SELECT 1 FROM a_1.b, \"c_2\".d -- x_3.y"},
+       {"\t", "\n", ";", ":", "_", ".", "\"", "'", "1e400", "\xf0\x9f"},
+       [](const std::string& text) {
+         if (const auto rows = platform::rows_of(text)) {
+           check(platform::is_text(*rows), "rows that are no text");
+           check(std::count(text.begin(), text.end(), '\n') <= std::count(rows->begin(), rows->end(), '['),
+                 "a row is lost");
+         }
+         platform::read_meter(text);
+         check(sql::table_group(text) >= -1, "a group below none");
+       }});
+  all.push_back(
+      {"platform-config",
+       {R"({"name":"n","listen":"l","seed":"8c","limits":{"sockets":256},"changelog":"c",)"
+        R"("known":{"seq":1,"results":[]},"settings":{"Services":[{"Name":"a","AimUs":1,"DeadlineUs":2}]}})"},
+       {"{", "}", "[", "]", "\"", ",", ":", "null", "1e999", "-1", "true", "\\u0000"},
+       [](const std::string& text) {
+         try {
+           platform::parse_config(text);
+         } catch (const platform::ConfigError&) {
+         }
+       }});
 
   const std::string gateway =
       "[gateway]\nname = \"g\"\nlisten = \"127.0.0.1:1\"\n[[kind]]\nname = \"k\"\ncores = 8\n"
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -44,7 +44,8 @@
 
 TEST(Http, ChunksArePutTogether) {
   const std::string text =
-      "POST /v1/a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n6;x=y\r\nSELECT\r\n2\r\n 1\r\n0\r\nT: v\r\n\r\n";
+      "POST /v1/a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n6;x=y\r\nSELECT\r\n2\r\n 1\r\n0\r\nT: "
+      "v\r\n\r\n";
   for (size_t step = 1; step <= text.size(); ++step) {
     const Read read = read_request(text, step);
     ASSERT_EQ(read.state, ReadState::kDone) << step;
@@ -136,14 +137,15 @@
   const auto read = [](const std::string& bytes, bool ends, size_t step) {
     ResponseReader reader{ReadLimits{}};
     ReadState state = ReadState::kMore;
-    for (size_t at = 0; at < bytes.size(); at += step) state = reader.feed(std::string_view(bytes).substr(at, step));
+    for (size_t at = 0; at < bytes.size(); at += step)
+      state = reader.feed(std::string_view(bytes).substr(at, step));
     if (ends) state = reader.finish();
     return std::make_pair(state, reader.take());
   };
   for (const size_t step : {size_t{1}, size_t{3}, size_t{1000}}) {
     const auto [a, sized] =
-        read("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nPage-Count: 2\r\nContent-Length: 3\r\n\r\nabc", false,
-             step);
+        read("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nPage-Count: 2\r\nContent-Length: 3\r\n\r\nabc",
+             false, step);
     ASSERT_EQ(a, ReadState::kDone);
     EXPECT_EQ(sized.status, 200);
     EXPECT_EQ(find(sized.fields, "page-count"), "2");
@@ -156,7 +158,8 @@
     EXPECT_EQ(read("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc", true, step).first, ReadState::kBad);
     EXPECT_EQ(read("HTTP/1.1 2OO OK\r\n\r\n", false, step).first, ReadState::kBad);
     EXPECT_EQ(read("HTTP/1.1 101 Switching\r\n\r\n", false, step).first, ReadState::kBad);
-    EXPECT_EQ(read("HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\n", false, step).first, ReadState::kBad);
+    EXPECT_EQ(read("HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\n", false, step).first,
+              ReadState::kBad);
   }
 }
 
--- a/tests/platform_harness.h
+++ b/tests/platform_harness.h
@@ -1,5 +1,5 @@
-// The platform side on a virtual clock and simulated streams: a gateway's front, carrier and node client, with
-// scripted nodes and clients.
+// The platform side on a virtual clock and simulated streams: a gateway's front, carrier and node client,
+// with scripted nodes and clients.
 #pragma once
 
 #include <gtest/gtest.h>
@@ -63,7 +63,8 @@
 
   ScriptedNode(sim::World& world, sim::Streams& streams, std::string address)
       : world_(world), actor_(sim::Actor::make(world, "node/" + address)), address_(std::move(address)) {
-    streams.listen(address_, actor_, [this](std::shared_ptr<rpc::ByteStream> s) { return serve(std::move(s)); });
+    streams.listen(address_, actor_,
+                   [this](std::shared_ptr<rpc::ByteStream> s) { return serve(std::move(s)); });
   }
 
   TimeUs work_us = 100'000;
@@ -162,8 +163,8 @@
     to_nodes.budget.nodes = node_connections;
     to_nodes.classes = options_.classes;
     nodes_ = std::make_unique<platform::NodeClient>(to_nodes, net_, *actor_, log_, directory_);
-    carrier_ = std::make_unique<carrier::Carrier>(settings_, 7, carrier::CarrierLimits{}, *actor_, *nodes_, lists_,
-                                                  log_);
+    carrier_ = std::make_unique<carrier::Carrier>(settings_, 7, carrier::CarrierLimits{}, *actor_, *nodes_,
+                                                  lists_, log_);
     nodes_->set_carrier(carrier_.get());
     front_ = std::make_unique<platform::Front>(options_, *carrier_, net_, *actor_, log_);
     streams_.listen("gateway", actor_, [this](auto stream) { return front_->serve(std::move(stream)); });
@@ -200,7 +201,8 @@
     return 0;
   }
 
-  static std::string statement(const std::string& id, const std::string& body = "SELECT 1 FROM sales_17.orders",
+  static std::string statement(const std::string& id,
+                               const std::string& body = "SELECT 1 FROM sales_17.orders",
                                const std::string& cls = "lookup", const std::string& timeout = "2000") {
     return http::write_request("POST", "/v1/" + cls, "service.internal",
                                {{"X-Request-Id", id}, {"X-Timeout-Ms", timeout}}, body);
--- a/tests/platform_process_test.cpp
+++ b/tests/platform_process_test.cpp
@@ -1,5 +1,5 @@
-// The program on loopback sockets, as the platform starts, reloads and stops it. Waits are bounded generously:
-// what counts is what happened, not when.
+// The program on loopback sockets, as the platform starts, reloads and stops it. Waits are bounded
+// generously: what counts is what happened, not when.
 #include <gtest/gtest.h>
 #include <stdlib.h>
 
@@ -29,10 +29,11 @@
     folder_ = std::filesystem::temp_directory_path() / ("sablelink-platform-" + std::to_string(::getpid()));
     std::filesystem::create_directories(folder_);
     listen_ = badday::free_address();
-    node_ = "127.0.0.1:" + std::to_string(net_->listen("127.0.0.1:0", [this](StreamPtr s) { return serve_node(s); }));
+    node_ = "127.0.0.1:" +
+            std::to_string(net_->listen("127.0.0.1:0", [this](StreamPtr s) { return serve_node(s); }));
     for (std::string& log : logs_)
-      log = "127.0.0.1:" +
-            std::to_string(net_->listen("127.0.0.1:0", [this, &log](StreamPtr s) { return serve_log(s, &log); }));
+      log = "127.0.0.1:" + std::to_string(net_->listen(
+                               "127.0.0.1:0", [this, &log](StreamPtr s) { return serve_log(s, &log); }));
     write_config(logs_[0]);
     ::setenv("BALANCER_CONFIG", (folder_ / "config.json").c_str(), 1);
   }
@@ -47,8 +48,8 @@
     std::ofstream(folder_ / "config.json")
         << R"({"name":"n0","listen":")" << listen_ << R"(","seed":"8c1f30d27a5be964","limits":{"cores":1,)"
         << R"("memory_mb":64,"sockets":256},"changelog":")" << changelog
-        << R"(","known":{"seq":1,"results":[{"seq":1,"fleet":{"whole":true,"hosts":[{"host":"s-1","dial":")" << node_
-        << R"(","site":"east","class":"std","block":0,"health":"ready","share":1,"born_ms":0}]}}]},)"
+        << R"(","known":{"seq":1,"results":[{"seq":1,"fleet":{"whole":true,"hosts":[{"host":"s-1","dial":")"
+        << node_ << R"(","site":"east","class":"std","block":0,"health":"ready","share":1,"born_ms":0}]}}]},)"
         << R"("settings":{"Zones":["east"],"Flavors":["std"],"Instances":1,"TickUs":1000,)"
         << R"("Limits":{"Cancel":true,"MaxAttempts":3},)"
         << R"("Services":[{"Name":"lookup","AimUs":9000000,"DeadlineUs":20000000}]}})";
@@ -118,8 +119,8 @@
     return held;
   }
   void start() {
-    process_ = std::make_unique<badday::Process>(SABLELINK_PROGRAM, std::vector<std::string>{"serve", "--platform"},
-                                                 (folder_ / "log").string());
+    process_ = std::make_unique<badday::Process>(
+        SABLELINK_PROGRAM, std::vector<std::string>{"serve", "--platform"}, (folder_ / "log").string());
     ASSERT_TRUE(process_->wait_ready(30 * kSecond));
   }
 
@@ -174,8 +175,8 @@
 
 TEST_F(PlatformProcess, AConfigurationThatCantBeReadIsAnErrorAndNoCrash) {
   std::ofstream(folder_ / "config.json") << "{\"name\":7}";
-  process_ = std::make_unique<badday::Process>(SABLELINK_PROGRAM, std::vector<std::string>{"serve", "--platform"},
-                                               (folder_ / "log").string());
+  process_ = std::make_unique<badday::Process>(
+      SABLELINK_PROGRAM, std::vector<std::string>{"serve", "--platform"}, (folder_ / "log").string());
   int status = -1;
   EXPECT_TRUE(process_->wait_end(30 * kSecond, &status));
   EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 1);
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -23,7 +23,8 @@
   return id;
 }
 
-// ---- Whole answers -----------------------------------------------------------------------------------------
+// ---- Whole answers
+// -----------------------------------------------------------------------------------------
 
 TEST(Platform, AStatementComesBackWhole) {
   PlatformBench b;
@@ -170,7 +171,8 @@
   }
 }
 
-// ---- Attempts and rules ------------------------------------------------------------------------------------
+// ---- Attempts and rules
+// ------------------------------------------------------------------------------------
 
 carrier::AttemptOrder order(const std::string& id) {
   carrier::Statement statement;
@@ -255,7 +257,8 @@
   node.work_us = 60 * kSecond;
   b.tell();
   constexpr int kQueries = 24;
-  for (int i = 1; i <= kQueries; ++i) b.nodes().start({static_cast<RequestId>(i), 0}, b.id_of(node), order(id_number(i)));
+  for (int i = 1; i <= kQueries; ++i)
+    b.nodes().start({static_cast<RequestId>(i), 0}, b.id_of(node), order(id_number(i)));
   b.run_for(12 * kSecond);
   EXPECT_LE(node.connections(), 4);
   std::map<std::string, TimeUs> asked;
@@ -286,13 +289,14 @@
   EXPECT_EQ(b.front().connections(), 0u);
 }
 
-// ---- Clients that send what they should not ----------------------------------------------------------------
+// ---- Clients that send what they should not
+// ----------------------------------------------------------------
 
 TEST(Platform, WhatIsNoCallIsTurnedAwayAndReachesNoNode) {
   const std::string id = id_number(5);
   const auto post = [&](const std::string& fields, const std::string& body = "SELECT 1") {
-    return "POST /v1/lookup HTTP/1.1\r\nHost: h\r\n" + fields + "Content-Length: " + std::to_string(body.size()) +
-           "\r\n\r\n" + body;
+    return "POST /v1/lookup HTTP/1.1\r\nHost: h\r\n" + fields +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
   };
   const std::string good_id = "X-Request-Id: " + id + "\r\n", good_time = "X-Timeout-Ms: 1500\r\n";
   const std::vector<std::pair<std::string, int>> cases = {
@@ -310,6 +314,8 @@
       {post(good_id + "X-Timeout-Ms: 86400000\r\n"), 400},
       {post(good_id + good_time + good_time), 400},
       {post(good_id + good_time + "X-Retry: 7\r\n"), 400},
+      {post(good_id + good_time + "X-Cost-Ms: nan\r\n"), 400},
+      {post(good_id + good_time + "X-Est-Mb: -40\r\n"), 400},
       {post(good_id + good_time, ""), 400},
       {post(good_id + good_time, std::string("SELECT \0 1", 10)), 400},
       {post(good_id + good_time, "SELECT '\xc3\x28'"), 400},
@@ -319,7 +325,8 @@
       {"PUT /v1/lookup HTTP/1.1\r\n" + good_id + good_time + "Content-Length: 1\r\n\r\nx", 405},
       {"GET /v1/lookup HTTP/1.1\r\n\r\n", 405},
       {"DELETE /v2/q/" + id + " HTTP/1.1\r\n\r\n", 404},
-      {post(good_id + good_time + "Transfer-Encoding: chunked\r\n", "0\r\n\r\n" + post(good_id + good_time)), 400},
+      {post(good_id + good_time + "Transfer-Encoding: chunked\r\n", "0\r\n\r\n" + post(good_id + good_time)),
+       400},
       {"\x16\x03\x01\x05 hello\r\n\r\n", 400},
   };
   for (const auto& [bytes, status] : cases) {
@@ -423,7 +430,8 @@
   EXPECT_EQ(answer->body, R"({"failure":"Full"})");
 }
 
-// ---- Pure parts --------------------------------------------------------------------------------------------
+// ---- Pure parts
+// --------------------------------------------------------------------------------------------
 
 TEST(PlatformPages, RowsOfThreeColumnsAlone) {
   EXPECT_EQ(platform::rows_of(""), "");
@@ -441,7 +449,8 @@
   EXPECT_EQ(report->held, 7);
   EXPECT_EQ(report->cpu_share, 0.61);
   EXPECT_EQ(report->memory_share, 0.25);
-  for (const char* wrong : {"", ":", "inflight", "inflight:", "inflight:nan", "inflight:-1", "other:3", "inflight:1x"})
+  for (const char* wrong :
+       {"", ":", "inflight", "inflight:", "inflight:nan", "inflight:-1", "other:3", "inflight:1x"})
     EXPECT_FALSE(platform::read_meter(wrong)) << wrong;
 }
 
@@ -465,7 +474,8 @@
   }
 }
 
-// ---- Configuration and change log --------------------------------------------------------------------------
+// ---- Configuration and change log
+// --------------------------------------------------------------------------
 
 const char* const kConfig = R"({"name":"n3","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964",
  "limits":{"cores":0.5,"memory_mb":64,"sockets":256},"changelog":"10.2.0.1:8500",
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -202,6 +202,44 @@
   EXPECT_LE(b.sends_to(1), 6);
 }
 
+// A client's own mistake goes wrong wherever it is sent: a flood of them must not take the fleet out.
+TEST(Health, RequestsThatAreThemselvesAtFaultBlameNoEngine) {
+  for (const size_t engines : {2u, 4u, 8u}) {
+    Bench b(plain_settings());
+    std::vector<EngineEntry> fleet;
+    for (EngineId e = 1; e <= engines; ++e) fleet.push_back(engine(e));
+    b.list(fleet);
+    for (RequestId id = 1; id <= 200; ++id) {
+      b.request(id, 0, 5 * kSecond, 50'000);
+      b.run_for(5 * kMs);
+      if (id % 2 == 0) {
+        b.end(id, Outcome::kOk, 50'000);
+        continue;
+      }
+      int attempts = 0;
+      for (; attempts < 6 && !b.over(id); ++attempts) b.end(id, Outcome::kError);
+      EXPECT_TRUE(b.over(id)) << "the final answer comes at once";
+      EXPECT_LE(attempts, 3);
+    }
+    b.run_for(kSecond);
+    EXPECT_TRUE(b.logs.empty()) << engines << ": " << b.logs[0];
+  }
+}
+
+TEST(Health, ErrorsThatNoOtherEngineSharesAreTheEngines) {
+  Bench b(plain_settings());
+  b.list({engine(1), engine(2), engine(3), engine(4)});
+  // The next attempt is out and says nothing: after a while the first engine is to blame all the same.
+  for (RequestId id = 1; id <= 40 && b.logs.empty(); ++id) {
+    b.request(id, 0, 5 * kSecond, 400'000);
+    b.run_for(10 * kMs);
+    if (b.engine_of(id) == 1) b.end(id, Outcome::kError);
+    b.run_for(150 * kMs);
+  }
+  ASSERT_FALSE(b.logs.empty());
+  EXPECT_EQ(b.logs[0], "engine taken out: failures");
+}
+
 TEST(Health, ASilentEngineIsTakenOutAndTrialTrafficBringsItBack) {
   Settings s = plain_settings();
   s.may_cancel = false;
