--- a/src/platform/node_client.cpp
+++ b/src/platform/node_client.cpp
@@ -14,7 +14,9 @@
 
 constexpr TimeUs kHoldUs = 250'000;      // a node holds a call for news that long
 constexpr TimeUs kForgetUs = 2'000'000;  // a query that nobody asks for that long is let go by its node
-constexpr TimeUs kCallUs = 450'000;      // a call without an answer by then won't get one; beyond any hold
+// A call without an answer that long after any hold won't get one. Asking again costs a connection, waiting
+// costs the client.
+constexpr TimeUs kCallUs = 120'000;
 constexpr TimeUs kSweepUs = 25'000;
 // A connection rests that long after an answer, so that a second copy of it shows before the next call.
 constexpr TimeUs kRestUs = 5'000;
@@ -318,7 +320,8 @@
       break;
   }
   connection->call = std::move(call);
-  connection->due_at = now + kCallUs;
+  const bool held = connection->call->kind == Kind::kPost || connection->call->kind == Kind::kNews;
+  connection->due_at = now + kCallUs + (held ? kHoldUs : 0);
   boost::asio::co_spawn(net_.executor(), write(connection, std::move(bytes)), boost::asio::detached);
 }
 
@@ -518,11 +521,13 @@
 
 void NodeClient::sweep() {
   const TimeUs now = clock_.now();
+  // After a standstill of this process answers may wait to be read: they come first.
+  const bool stood_still = now - std::exchange(swept_at_, now) > 2 * kSweepUs;
   for (auto it = nodes_.begin(); it != nodes_.end();) {
     const NodePtr node = (it++)->second;
     std::vector<ConnectionPtr> over;
     for (const ConnectionPtr& c : node->connections)
-      if (c->call ? now >= c->due_at : now - c->idle_since > options_.idle_close_us * 3 / 5)
+      if (c->call ? !stood_still && now >= c->due_at : now - c->idle_since > options_.idle_close_us * 3 / 5)
         over.push_back(c);
     for (const ConnectionPtr& c : over) {
       if (c->closed) continue;
--- a/src/platform/node_client.h
+++ b/src/platform/node_client.h
@@ -151,6 +151,7 @@
   std::map<RequestId, Leftover> leftovers_;
   size_t connections_ = 0;  // with those being dialled
   size_t listed_ = 0;
+  TimeUs swept_at_ = 0;
   NodeClientCounts counts_;
   std::shared_ptr<NodeClient*> self_;  // coroutines and calls that outlive the client find it empty
 };
--- a/tests/platform_harness.h
+++ b/tests/platform_harness.h
@@ -253,7 +253,7 @@
   platform::NodeClient& nodes() { return *nodes_; }
   platform::Front& front() { return *front_; }
   carrier::Carrier& carrier() { return *carrier_; }
-  const std::shared_ptr<sim::Actor>& client() { return client_; }
+  const std::shared_ptr<sim::Actor>& gateway() { return actor_; }
 
  private:
   struct NoLists : carrier::ListSource {
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -113,6 +113,38 @@
   }
 }
 
+// An answer that never comes is asked for again well before its client has lost patience, and a process that
+// has stood still doesn't take answers that wait to be read for missing.
+TEST(Platform, AnAnswerThatNeverComesIsAskedForAgain) {
+  PlatformBench b;
+  ScriptedNode& node = b.add_node();
+  node.pages = {"a\t1\tx\n", "b\t2\ty\n"};
+  int pages = 0;
+  node.script = [&](const ScriptedNode::Seen& s) -> std::optional<NodeReply> {
+    if (!s.request.target.ends_with("/1") || ++pages > 1) return std::nullopt;
+    return NodeReply{"", 0, false, true};
+  };
+  b.tell();
+  const auto answer = b.start(PlatformBench::statement(id_number(1)));
+  b.run_for(400 * kMs);
+  EXPECT_EQ(answer->status, 200);
+  EXPECT_EQ(pages, 2);
+}
+
+TEST(Platform, AfterAStandstillAnswersAreReadBeforeTheyAreMissed) {
+  PlatformBench b;
+  ScriptedNode& node = b.add_node();
+  node.work_us = 150'000;
+  b.tell();
+  const auto answer = b.start(PlatformBench::statement(id_number(1)));
+  b.run_for(50 * kMs);
+  b.gateway()->stall(600 * kMs);
+  b.run_for(kSecond);
+  EXPECT_EQ(answer->status, 200);
+  EXPECT_EQ(b.nodes().counts().overdue, 0u);
+  EXPECT_EQ(node.seen.size(), 1u);
+}
+
 // A second copy of an answer must not be taken for the next call's.
 TEST(Platform, WhatFollowsAnAnswerEndsItsConnection) {
   for (const bool late : {false, true}) {
