An engine that answers on another connection is not blamed for one that broke

A trace of broken calls and of ends: 296 attempts ended as reset after a start that broke off and whose node, asked on the next connection, knew nothing of it. Excluded: spoilt answers to starts (851 of 1,147 broken starts were found running by the same question and went on), node errors (17).

Cause: NodeClient::news told these as kReset, which learn_health (policy.cpp) weighs twice, as of a process that died. AttemptEnd now says that the engine has answered since; the module tries again elsewhere and blames nobody.

--- a/src/carrier/carrier.cpp
+++ b/src/carrier/carrier.cpp
@@ -303,6 +303,7 @@
   end.work_us = result.work_us;
   end.used_mb = result.used_mb;
   end.report = result.report;
+  end.engine_alive = result.engine_alive;
   tell([&] { gateway_.on_attempt_end(now_, end, *this); });
   forget_if_over(key.request);
 }
--- a/src/carrier/ports.h
+++ b/src/carrier/ports.h
@@ -51,6 +51,7 @@
   std::optional<double> used_mb;
   std::optional<LoadReport> report;
   NodeError error;               // where the outcome isn't kOk
+  bool engine_alive = false;     // of kReset: the engine itself has answered since, on another connection
   bool statement_fault = false;  // the error is the statement's own: every node would answer so
 };
 
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -134,6 +134,7 @@
   std::optional<double> work_us;  // told with an answer: the work that it took
   std::optional<double> used_mb;
   std::optional<LoadReport> report;
+  bool engine_alive = false;  // the connection broke, but the engine answers on another: it is not to blame
 };
 
 struct ProgressNote {
--- a/src/platform/node_client.cpp
+++ b/src/platform/node_client.cpp
@@ -472,6 +472,8 @@
       end(query, Outcome::kFull);  // it never ran: a time-out would say that it may
       return true;
     case 500:
+      // Of a start that broke off: the node knows nothing of it. It may have run, but the node is well.
+      query->result.engine_alive = query->doubtful;
       end(query, query->doubtful ? Outcome::kReset : Outcome::kError);
       return true;
     default:
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -919,6 +919,7 @@
     if (end.outcome == Outcome::kOk) learn_answer(q, e, end);
     if (end.outcome == Outcome::kCancelled || end.outcome == Outcome::kTimeout) learn_cut(q, e, end.took_us);
     if (end.outcome == Outcome::kError) learn_error(q, e);
+    else if (end.engine_alive) e.life_at = now_;
     else learn_health(e, end.outcome);
     if (end.outcome == Outcome::kOk || q.finished || end.request_over) settle_errors(q);
     q.avoid = end.outcome == Outcome::kOk ? 0 : end.engine;
--- a/tests/platform_harness.h
+++ b/tests/platform_harness.h
@@ -49,6 +49,7 @@
   bool breaks = false;  // the connection, after the bytes
   bool silent = false;  // nothing is answered, the connection stands
   std::string then{};   // comes 2 ms after the answer
+  bool unread = false;  // the call hasn't reached the node
 };
 
 // A node that works off queries by the protocol, unless its script says otherwise for a call.
@@ -130,6 +131,7 @@
         seen.push_back(s);
         std::optional<NodeReply> reply = script ? script(s) : std::nullopt;
         if (!reply) reply = usual(s);
+        if (reply->unread) seen.pop_back();
         if (reply->silent) continue;
         if (reply->after > 0) co_await pause(*actor_, reply->after);
         if (!reply->bytes.empty()) co_await rpc::write_all(*stream, reply->bytes);
@@ -152,6 +154,20 @@
   int connections_ = 0;
 };
 
+// Counts records by event.
+class CountingLog : public Log {
+ public:
+  void write(LogLevel, std::string_view event, LogFields) override { ++counts_[std::string(event)]; }
+  bool wants(LogLevel level) const override { return level != LogLevel::kDebug; }
+  size_t count(const std::string& event) const {
+    const auto it = counts_.find(event);
+    return it == counts_.end() ? 0 : it->second;
+  }
+
+ private:
+  std::map<std::string, size_t> counts_;
+};
+
 class PlatformBench {
  public:
   explicit PlatformBench(size_t client_connections = 20, size_t node_connections = 40) {
@@ -253,6 +269,7 @@
   platform::NodeClient& nodes() { return *nodes_; }
   platform::Front& front() { return *front_; }
   carrier::Carrier& carrier() { return *carrier_; }
+  const CountingLog& log() const { return log_; }
   const std::shared_ptr<sim::Actor>& gateway() { return actor_; }
 
  private:
@@ -267,7 +284,7 @@
   std::shared_ptr<sim::Actor> actor_ = sim::Actor::make(world_, "gateway");
   std::shared_ptr<sim::Actor> client_ = sim::Actor::make(world_, "client");
   SimDialer net_{world_, streams_, actor_};
-  NullLog log_;
+  CountingLog log_;
   NoLists lists_;
   Settings settings_ = plain_settings();
   platform::FrontOptions options_;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -85,6 +85,30 @@
   }
 }
 
+// The start never reached the node: the request is tried again, and the node, which answers, stays in
+// service.
+TEST(Platform, ResetsWhileRequestsComeTakeNoNodeOut) {
+  PlatformBench b;
+  std::vector<ScriptedNode*> nodes;
+  for (int i = 0; i < 3; ++i) nodes.push_back(&b.add_node());
+  std::map<std::string, int> tries;
+  for (ScriptedNode* node : nodes)
+    node->script = [&](const ScriptedNode::Seen& s) -> std::optional<NodeReply> {
+      if (s.request.method != "POST") return std::nullopt;
+      if (tries[std::string(http::find(s.request.fields, "x-ticket"))]++ > 0) return std::nullopt;
+      return NodeReply{"", 0, true, false, "", true};  // as if it had not been read
+    };
+  b.tell();
+  std::vector<std::shared_ptr<Answer>> answers;
+  for (int i = 1; i <= 40; ++i) {
+    answers.push_back(b.start(PlatformBench::statement(id_number(i))));
+    b.run_for(50 * kMs);
+  }
+  b.run_for(kSecond);
+  for (const auto& answer : answers) EXPECT_EQ(answer->status, 200);
+  EXPECT_EQ(b.log().count("decision"), 0u);
+}
+
 TEST(Platform, SpoiltPagesAreAskedForAgain) {
   const std::vector<std::string> spoilt = {
       "HTTP/1.1 200 OK\r\nPage-No: 1\r\nContent-Length: 3221225472\r\n\r\n",
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -226,6 +226,29 @@
   }
 }
 
+// Connections that break say nothing of an engine that answers on the next one.
+TEST(Health, AnEngineThatAnswersIsNotBlamedForItsConnections) {
+  for (const bool alive : {true, false}) {
+    Bench b(plain_settings());
+    b.list({engine(1), engine(2), engine(3), engine(4)});
+    for (RequestId id = 1; id <= 60; ++id) {
+      b.request(id, 0, 5 * kSecond, 50'000);
+      b.run_for(10 * kMs);
+      if (b.engine_of(id) == 1) {
+        AttemptEnd end;
+        end.id = id;
+        end.engine = 1;
+        end.outcome = Outcome::kReset;
+        end.engine_alive = alive;
+        b.gateway().on_attempt_end(b.now(), end, b);
+        EXPECT_EQ(b.sends(id), 2) << "tried again";
+      }
+      b.end(id, Outcome::kOk, 50'000);
+    }
+    EXPECT_EQ(b.logs.empty(), alive);
+  }
+}
+
 TEST(Health, ErrorsThatNoOtherEngineSharesAreTheEngines) {
   Bench b(plain_settings());
   b.list({engine(1), engine(2), engine(3), engine(4)});
