--- a/src/rpc/tcp_stream.cpp
+++ b/src/rpc/tcp_stream.cpp
@@ -157,14 +157,16 @@
   Acceptor(TcpNet& net, const tcp::endpoint& at, StreamHandler handler)
       : net_(net), acceptor_(net.context_, at), pause_(net.context_), handler_(std::move(handler)) {}
   int port() const { return acceptor_.local_endpoint().port(); }
+  // From here on the net may be gone.
   void close() {
     error_code ignored;
+    closed_ = true;
     acceptor_.close(ignored);
   }
   void accept() {
     const auto socket = std::make_shared<Socket>(net_.context_, !net_.own_, net_.strand_.post);
     acceptor_.async_accept(socket->raw(), [self = shared_from_this(), socket](error_code error) {
-      if (self->net_.ending_ || error == asio::error::operation_aborted) return;
+      if (self->closed_) return;
       if (!error) {
         self->serve(socket);
         self->accept();
@@ -173,7 +175,7 @@
       // Out of descriptors, most likely: who waits to be accepted keeps waiting until there are some.
       self->pause_.expires_after(kAcceptPause);
       self->pause_.async_wait([self](error_code) {
-        if (!self->net_.ending_ && self->acceptor_.is_open()) self->accept();
+        if (!self->closed_) self->accept();
       });
     });
   }
@@ -195,6 +197,7 @@
   TcpNet& net_;
   tcp::acceptor acceptor_;
   asio::steady_timer pause_;
+  bool closed_ = false;
   const StreamHandler handler_;
 };
 
@@ -228,7 +231,6 @@
 }
 
 void TcpNet::close_all() {
-  ending_ = true;
   for (const auto& acceptor : acceptors_) acceptor->close();
   for (const auto& weak : sockets_)
     if (const std::shared_ptr<Socket> socket = weak.lock()) socket->shut();
--- a/src/rpc/tcp_stream.h
+++ b/src/rpc/tcp_stream.h
@@ -60,8 +60,7 @@
   std::unique_ptr<boost::asio::io_context> own_;  // with its thread; none on an AsioLoop
   boost::asio::io_context& context_;
   std::optional<boost::asio::executor_work_guard<boost::asio::io_context::executor_type>> guard_;
-  bool ending_ = false;  // these three on the context's thread
-  std::vector<std::weak_ptr<Socket>> sockets_;
+  std::vector<std::weak_ptr<Socket>> sockets_;  // these three on the context's thread
   size_t swept_at_ = 64;
   std::vector<std::shared_ptr<Acceptor>> acceptors_;
   std::thread thread_;
--- a/tests/platform_process_test.cpp
+++ b/tests/platform_process_test.cpp
@@ -39,6 +39,8 @@
   }
   ~PlatformProcess() override {
     process_.reset();
+    ending_ = true;
+    until([&] { return beating_ == 0; });
     net_.reset();
     loop_.poll();
     if (!HasFailure()) std::filesystem::remove_all(folder_);
@@ -73,12 +75,13 @@
     const std::optional<std::string> ask = co_await stream->read(100);
     if (!ask) co_return;
     asked_.push_back((which == &logs_[0] ? "old " : "new ") + *ask);
-    for (int beat = 0; beat < 60; ++beat) {
+    ++beating_;
+    for (bool sent = true; sent && !ending_;) {
       const std::string line = "1\n";
-      const bool sent = co_await rpc::write_all(*stream, line);
-      if (!sent) co_return;
-      co_await pause(loop_, kSecond);
+      sent = co_await rpc::write_all(*stream, line);
+      co_await pause(loop_, kSecond / 10);
     }
+    --beating_;
   }
   // The status of the answer; 0 where the connection ended, or none came about.
   rpc::Awaitable<void> ask(std::string bytes, int* status) {
@@ -130,7 +133,8 @@
   std::unique_ptr<rpc::TcpNet> net_ = std::make_unique<rpc::TcpNet>(loop_);
   std::string listen_, node_, logs_[2];
   TimeUs work_us_ = 0;
-  int posts_ = 0;
+  int posts_ = 0, beating_ = 0;
+  bool ending_ = false;
   std::vector<std::string> asked_;
   std::unique_ptr<badday::Process> process_;
 };
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -654,7 +654,7 @@
   NullLog log;
   std::vector<config::NodeConfig> nodes;
   platform::PlatformConfig config = platform::parse_config(kConfig);
-  const auto follow = std::make_unique<platform::ChangeLog>(
+  auto follow = std::make_unique<platform::ChangeLog>(
       net, *gateway, log, [&](const std::vector<config::NodeConfig>& told) { nodes = told; });
   auto& changes = *follow;
   changes.start(config);
@@ -688,6 +688,8 @@
   EXPECT_EQ(nodes.size(), 6u);
   streams.unlisten("10.2.0.1:8500");
   streams.unlisten("10.2.0.2:8500");
+  follow.reset();
+  while (world.step()) continue;  // whoever still waits hears of its end
 }
 
 }  // namespace
