A wrong address in a list ends nobody; the directory forgets nodes that left long ago

Now a wrong address is a failed dial, and of nodes that left the last 256 are remembered; ids are still never given twice. Both have a test.

--- a/src/membership/directory.h
+++ b/src/membership/directory.h
@@ -1,7 +1,9 @@
 // The nodes that a gateway knows: their ids, addresses and entries. Pure: what changed is for the caller to
-// pass on. Ids are given in the order in which names first appear and are never used for another node.
+// pass on. Ids are given in the order in which names first appear and are never used for another node. Of nodes
+// that left, the last kLeftKept are remembered, so that a list that changes for ever doesn't grow.
 #pragma once
 
+#include <deque>
 #include <map>
 #include <string>
 #include <vector>
@@ -13,17 +15,27 @@
 
 class Directory {
  public:
+  static constexpr size_t kLeftKept = 256;  // far more than leave while an attempt is out
+
   // Takes a whole list over. A node whose address has changed is another node: it gets a new id.
   void replace(const std::vector<config::NodeConfig>& nodes);
 
   // The list now, as the decision module takes it.
   const std::vector<EngineEntry>& entries() const { return entries_; }
-  // Empty for ids never given. Addresses of nodes that left stay known, as attempts may still be out there.
+  // Empty for ids never given, or forgotten. Addresses of nodes that left stay known for a while, as attempts
+  // may still be out there.
   const std::string& address(EngineId engine) const;
 
  private:
-  std::map<std::string, EngineId> ids_;  // by name and address
-  std::vector<std::string> addresses_;   // by id - 1
+  struct Known {
+    std::string key;  // name and address
+    std::string address;
+    bool listed = false;
+  };
+  std::map<std::string, EngineId> ids_;  // by key
+  std::map<EngineId, Known> known_;
+  std::deque<EngineId> left_;  // in the order of their leaving; one may be listed again
+  EngineId last_ = 0;
   std::vector<EngineEntry> entries_;
 };
 
--- a/src/rpc/tcp_stream.cpp
+++ b/src/rpc/tcp_stream.cpp
@@ -268,7 +268,14 @@
 }
 
 Awaitable<std::shared_ptr<ByteStream>> TcpNet::connect(std::string address, TimeUs within, ConnectEnd* end) {
-  const tcp::endpoint to = endpoint_of(address);
+  tcp::endpoint to;
+  try {
+    to = endpoint_of(address);
+  } catch (const std::runtime_error&) {
+    // An address comes from outside, too: a list that names a wrong one must not end whoever dials.
+    if (end != nullptr) *end = ConnectEnd::kFailed;
+    co_return nullptr;
+  }
   const auto socket = std::make_shared<Socket>(context_, !own_, strand_.post);
   const auto op = std::make_shared<Socket::Operation>();
   const auto over = std::make_shared<bool>(false);
--- a/tests/platform_process_test.cpp
+++ b/tests/platform_process_test.cpp
@@ -51,7 +51,8 @@
         << R"({"name":"n0","listen":")" << listen_ << R"(","seed":"8c1f30d27a5be964","limits":{"cores":1,)"
         << R"("memory_mb":64,"sockets":256},"changelog":")" << changelog
         << R"(","known":{"seq":1,"results":[{"seq":1,"fleet":{"whole":true,"hosts":[{"host":"s-1","dial":")"
-        << node_ << R"(","site":"east","class":"std","block":0,"health":"ready","share":1,"born_ms":0}]}}]},)"
+        << node_ << R"(","site":"east","class":"std","block":0,"health":"ready","share":1,"born_ms":0},)"
+        << R"({"host":"s-2","dial":"no address","health":"ready"}]}}]},)"
         << R"("settings":{"Zones":["east"],"Flavors":["std"],"Instances":1,"TickUs":1000,)"
         << R"("Limits":{"Cancel":true,"MaxAttempts":3},)"
         << R"("Services":[{"Name":"lookup","AimUs":9000000,"DeadlineUs":20000000}]}})";
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -2,6 +2,8 @@
 // clients that send what they should not, the change log, the configuration.
 #include <gtest/gtest.h>
 
+#include <set>
+
 #include "platform/change_log.h"
 #include "platform/config.h"
 #include "platform/descriptors.h"
@@ -521,6 +523,31 @@
   EXPECT_EQ(table_group("SELECT * FROM sales.orders"), -1);
 }
 
+// On a long day nodes come and go for ever.
+TEST(PlatformDirectory, ForgetsTheNodesThatLeftLongAgo) {
+  membership::Directory directory;
+  config::NodeConfig stays;
+  stays.name = "stays";
+  stays.address = "10.0.0.1:1";
+  std::set<EngineId> ids;
+  EngineId first = 0;
+  for (int i = 0; i < 2'000; ++i) {
+    config::NodeConfig passing;
+    passing.name = "n" + std::to_string(i);
+    passing.address = "10.0.0.2:1";
+    directory.replace({stays, passing});
+    EXPECT_TRUE(ids.insert(directory.entries()[1].engine).second) << "an id is given twice";
+    if (i == 0) first = directory.entries()[0].engine;
+    EXPECT_EQ(directory.entries()[0].engine, first);
+    EXPECT_EQ(directory.address(directory.entries()[1].engine), passing.address);
+  }
+  size_t remembered = 0;
+  for (const EngineId id : ids) remembered += !directory.address(id).empty();
+  EXPECT_LE(remembered, membership::Directory::kLeftKept + 1);
+  EXPECT_GE(remembered, 200u);
+  EXPECT_EQ(directory.address(first), stays.address);
+}
+
 TEST(PlatformDescriptors, AllPartsFitUnderTheLimit) {
   for (const size_t limit : {256, 384, 512, 1024}) {
     const auto budget = platform::DescriptorBudget::of(limit);
