--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -57,7 +57,7 @@
 
 constexpr double kErrRate = 0.2, kErrEject = 0.35;  // weight of an outcome in the failure share; ejects from
 constexpr size_t kErrProves = 3;          // engines that answer a request with an error: it is the request's
-constexpr TimeUs kErrDoubtUs = 100 * kMs;  // ... that long after its last error it is the engines'
+constexpr TimeUs kErrDoubtUs = 40 * kMs;  // ... that long after its last error it is the engines'
 constexpr TimeUs kSilenceUs = 1200 * kMs;  // no sign of life for this long with overdue work: it hangs
 constexpr TimeUs kEjectUs = 1500 * kMs, kEjectMostUs = 6 * kSecond;  // first rest once ejected; doubles up to
 constexpr int kTrialOks = 3;                   // answers in a row that bring an ejected engine back
