An attempt counts as given up by 204 or 500 alone, or 2.4 s after its node was last asked

Each has a test that failed without its change where it could be caused (bound, answer, overtaking).

--- a/src/platform/node_client.cpp
+++ b/src/platform/node_client.cpp
@@ -14,6 +14,11 @@
 
 constexpr TimeUs kHoldUs = 250'000;      // a node holds a call for news that long
 constexpr TimeUs kForgetUs = 2'000'000;  // a query that nobody asks for that long is let go by its node
+// By then a node has surely let go: it counts from the end of the call that it held last, by its own clock.
+constexpr TimeUs kLetGoUs = kHoldUs + kForgetUs + 150'000;
+// A DELETE isn't sent sooner after its POST: on a connection of its own it could overtake it, and what it was
+// to end would begin after it.
+constexpr TimeUs kOvertakeUs = 30'000;
 // A call without an answer that long after any hold won't get one. Asking again costs a connection, waiting
 // costs the client.
 constexpr TimeUs kCallUs = 120'000;
@@ -152,10 +157,20 @@
 void NodeClient::give_up(const QueryPtr& query) {
   Leftover& left = leftovers_[query->key.request];
   left.out.push_back(query);
-  left.until = std::max(left.until, query->asked_at + kForgetUs);
+  left.until = std::max(left.until, query->asked_at + kLetGoUs);
   const NodePtr node = node_of(query->engine);
-  queue(node, {Kind::kDelete, query, 0, 0});
-  wake(node, 0);
+  const auto send_delete = [this, node, query] {
+    queue(node, {Kind::kDelete, query, 0, 0});
+    wake(node, 0);
+  };
+  const TimeUs early = query->posted_at + kOvertakeUs - clock_.now();
+  if (early <= 0) {
+    send_delete();
+    return;
+  }
+  clock_.call_after(early, [self = self_, send_delete] {
+    if (*self != nullptr) send_delete();
+  });
 }
 
 // Nothing of it is out any more.
@@ -310,7 +325,7 @@
                              {"X-Max-Ms", std::to_string((left + 999) / 1000)}};
       if (query.order.priority != 1) fields.emplace_back("Rank", std::to_string(query.order.priority));
       bytes = http::write_request("POST", "/v2/q", node->address, fields, query.order.statement->text);
-      query.asked_at = now;
+      query.asked_at = query.posted_at = now;
       break;
     }
     case Kind::kPage:
@@ -417,7 +432,11 @@
 
 void NodeClient::answered(const NodePtr& node, Call call, const http::Response& response) {
   if (call.kind == Kind::kDelete) {
-    given_up(call.query);
+    // 500: the node knows of no such query. Anything else is no word on it.
+    if (response.status == 204 || response.status == 500)
+      given_up(call.query);
+    else
+      broken(node, std::move(call));
     return;
   }
   if (call.query->over) return;
@@ -547,7 +566,7 @@
   // Asked for by nobody for so long, a query is no more, wherever its node may be.
   std::vector<QueryPtr> silent;
   for (const auto& [key, query] : queries_)
-    if (query->asked_at > 0 && now - query->asked_at > kForgetUs) silent.push_back(query);
+    if (query->asked_at > 0 && now - query->asked_at > kLetGoUs) silent.push_back(query);
   for (const QueryPtr& query : silent) end(query, Outcome::kReset);
   std::vector<RequestId> over;
   for (const auto& [request, left] : leftovers_)
--- a/src/platform/node_client.h
+++ b/src/platform/node_client.h
@@ -70,6 +70,7 @@
     carrier::AttemptOrder order;
     TimeUs made_at = 0;
     TimeUs asked_at = 0;  // a call for it left last; 0: none has, and none may have reached the node
+    TimeUs posted_at = 0;
     bool over = false;
     int breaks = 0;         // calls in a row that came to nothing
     bool doubtful = false;  // its start broke off: it is not known to have arrived
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -267,6 +267,31 @@
   b.run_for(kSecond);
 }
 
+// On a connection of its own a DELETE could overtake the POST that it is to end.
+TEST(Platform, NoDeleteLeavesRightBehindItsPost) {
+  PlatformBench b;
+  ScriptedNode& a = b.add_node();
+  ScriptedNode& c = b.add_node();
+  a.work_us = c.work_us = 10 * kSecond;
+  int deletes = 0;
+  a.script = [&](const ScriptedNode::Seen& s) -> std::optional<NodeReply> {
+    if (s.request.method != "DELETE" || ++deletes > 1) return std::nullopt;
+    return NodeReply{http::write_response(404, {}, "", true)};  // no word on the query
+  };
+  b.tell();
+  b.nodes().start({7, 0}, b.id_of(a), order(id_number(7)));
+  while (a.count("POST") == 0) b.run_for(kMs);
+  b.nodes().drop({7, 0});
+  b.nodes().start({7, 1}, b.id_of(c), order(id_number(7)));
+  b.run_for(kSecond);
+  ASSERT_EQ(a.count("DELETE"), 2u);
+  EXPECT_GE(a.first("DELETE")->at, a.first("POST")->at + 25 * kMs);
+  ASSERT_NE(c.first("POST"), nullptr);
+  EXPECT_GT(c.first("POST")->at, a.seen.back().at);
+  b.nodes().drop({7, 1});
+  b.run_for(kSecond);
+}
+
 TEST(Platform, OfASilentNodeTheNextAttemptWaitsUntilItHasLetGo) {
   PlatformBench b;
   ScriptedNode& a = b.add_node();
@@ -283,7 +308,8 @@
   TimeUs last_asked = 0;
   for (const auto& s : a.seen)
     if (s.request.method != "DELETE") last_asked = s.at;
-  EXPECT_GE(c.first("POST")->at, last_asked + 2 * kSecond);
+  // The node may have held the last call for 250 ms, and counts from the end of that.
+  EXPECT_GE(c.first("POST")->at, last_asked + 2250 * kMs);
   b.nodes().drop({7, 1});
   b.run_for(kSecond);
 }
