--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -323,7 +323,7 @@
   a.work_us = c.work_us = 10 * kSecond;
   a.script = [&](const ScriptedNode::Seen& s) -> std::optional<NodeReply> {
     if (s.request.method != "DELETE") return std::nullopt;
-    return NodeReply{http::write_response(204, {}, "", true), 200 * kMs};
+    return NodeReply{http::write_response(204, {}, "", true), 100 * kMs};
   };
   b.nodes().start({7, 0}, b.id_of(a), order(id_number(7)));
   b.run_for(100 * kMs);
