Read again: one lowering of text, one call of due timers, one wake for each node

Need: the change had written again what stood elsewhere. base/text.h lowers text for the SQL readers and HTTP; TimerHeap calls what is due for both loops; figures of nodes are read in one place (pages.h), now by from_chars, which takes neither hex nor leading space. A node has one pending wake instead of one for each look at resting connections, which could pile up where all are at work. Dead: flatten_settings, an alias of close, two logs that nobody wrote to, two unused parameters.

--- a/src/base/timer_heap.h
+++ b/src/base/timer_heap.h
@@ -28,6 +28,13 @@
     timers_.pop_back();
     return fn;
   }
+  // Calls what is due by then, but not what these calls ask for: that finds the sockets looked at in between.
+  void call_due(TimeUs until) {
+    while (!empty() && next_at() <= until) {
+      const std::function<void()> fn = take();
+      fn();
+    }
+  }
   void clear() { timers_.clear(); }
 
  private:
--- a/src/platform/change_log.cpp
+++ b/src/platform/change_log.cpp
@@ -109,8 +109,7 @@
 
 void ChangeLog::start(const PlatformConfig& config) {
   sequence_ = std::make_unique<ChangeSequence>(0, config.names);
-  apply([&](const auto& each) { sequence_->take(config.known, config.known_seq, each); });
-  spawn(config.changelog);
+  move(config);
 }
 
 void ChangeLog::move(const PlatformConfig& config) {
--- a/src/platform/config.cpp
+++ b/src/platform/config.cpp
@@ -178,12 +178,6 @@
 
 }  // namespace
 
-std::string flatten_settings(std::string_view text) {
-  std::string out;
-  flatten(read_json(text), "", out);
-  return out;
-}
-
 ChangeEvent parse_event(std::string_view text, const Names& names) {
   return read_event(read_json(text), names);
 }
--- a/src/platform/config.h
+++ b/src/platform/config.h
@@ -54,7 +54,4 @@
 // An event as a line of the change log. Throws ConfigError.
 ChangeEvent parse_event(std::string_view json, const Names& names);
 
-// Nested JSON as the lines of path=value that parse_settings reads. Throws ConfigError.
-std::string flatten_settings(std::string_view json);
-
 }  // namespace sablelink::platform
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -11,8 +11,8 @@
 namespace sablelink::platform {
 namespace {
 
-constexpr TimeUs kCallUs =
-    2'500'000;  // a call has to be whole within that, from its connection or first byte
+// A call has to be whole within that, from its connection or first byte.
+constexpr TimeUs kCallUs = 2'500'000;
 constexpr TimeUs kIdleUs = 5'000'000;    // clients close idle connections after 4 s; some never do
 constexpr TimeUs kWriteUs = 5'000'000;   // a client that takes no answer for so long is gone
 constexpr TimeUs kLingerUs = 1'000'000;  // for a client to read why it is turned away, while it still sends
@@ -112,9 +112,6 @@
     }
   }
 
-  // The client is gone.
-  void ended() { close(); }
-
   void answer(int status, const http::Fields& fields, const std::string& body, bool keep_alive) {
     ++front_.counts_.answers;
     keep_alive = keep_alive && !front_.leaving_;
@@ -280,12 +277,11 @@
   if (stage_ == Stage::kOpen) request_ = id;
 }
 
-Front::Front(FrontOptions options, carrier::Carrier& carrier, rpc::Dialer& net, Clock& clock, Log& log)
+Front::Front(FrontOptions options, carrier::Carrier& carrier, rpc::Dialer& net, Clock& clock)
     : options_(std::move(options)),
       carrier_(carrier),
       net_(net),
       clock_(clock),
-      log_(log),
       self_(std::make_shared<Front*>(this)) {
   sweep();
 }
@@ -336,7 +332,7 @@
     connection->feed(*bytes);
     if (connection->stage() == Connection::Stage::kClosed) break;
   }
-  connection->ended();
+  connection->close();  // its client is gone
   connections_.remove(connection);
 }
 
--- a/src/platform/front.h
+++ b/src/platform/front.h
@@ -11,7 +11,6 @@
 #include <vector>
 
 #include "base/clock.h"
-#include "base/log.h"
 #include "carrier/carrier.h"
 #include "http/reader.h"
 #include "rpc/byte_stream.h"
@@ -45,7 +44,7 @@
 // On the net's strand alone.
 class Front {
  public:
-  Front(FrontOptions options, carrier::Carrier& carrier, rpc::Dialer& net, Clock& clock, Log& log);
+  Front(FrontOptions options, carrier::Carrier& carrier, rpc::Dialer& net, Clock& clock);
   ~Front();
 
   rpc::Awaitable<void> serve(std::shared_ptr<rpc::ByteStream> stream);
@@ -68,7 +67,6 @@
   carrier::Carrier& carrier_;
   rpc::Dialer& net_;
   Clock& clock_;
-  Log& log_;
   std::list<std::shared_ptr<Connection>> connections_;  // oldest first
   std::unordered_set<std::string> open_ids_;
   bool leaving_ = false;
--- a/src/platform/node_client.cpp
+++ b/src/platform/node_client.cpp
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <cmath>
-#include <cstdlib>
 
 #include "http/message.h"
 #include "platform/pages.h"
@@ -35,22 +33,13 @@
   return limits;
 }
 
-std::optional<double> number(std::string_view text) {
-  const std::string copy(text);
-  char* stop = nullptr;
-  const double value = std::strtod(copy.c_str(), &stop);
-  if (copy.empty() || *stop != '\0' || !std::isfinite(value) || value < 0) return std::nullopt;
-  return value;
-}
-
 }  // namespace
 
-NodeClient::NodeClient(NodeClientOptions options, rpc::Dialer& net, Clock& clock, Log& log,
+NodeClient::NodeClient(NodeClientOptions options, rpc::Dialer& net, Clock& clock,
                        const membership::Directory& directory)
     : options_(std::move(options)),
       net_(net),
       clock_(clock),
-      log_(log),
       directory_(directory),
       self_(std::make_shared<NodeClient*>(this)) {
   sweep();
@@ -87,9 +76,8 @@
     node->state = entry.state;
     ++listed_;
   }
-  for (auto it = nodes_.begin(); it != nodes_.end();) {
-    const NodePtr node = (it++)->second;
-    if (!node->listed) close_idle(node->id);
+  for (const auto& [id, node] : nodes_) {
+    if (!node->listed) close_idle(id);
     dispatch(node);  // starts that wait for one that is leaving end here
   }
 }
@@ -227,12 +215,11 @@
 }
 
 void NodeClient::wake(const NodePtr& node, TimeUs after) {
-  if (after == 0) {
-    if (node->woken) return;
-    node->woken = true;
-  }
-  clock_.call_after(after, [self = self_, node, after] {
-    if (after == 0) node->woken = false;
+  const TimeUs at = clock_.now() + after;
+  if (node->wake_at != 0 && node->wake_at <= at) return;  // what is still to wait for then wakes it anew
+  node->wake_at = at;
+  clock_.call_after(after, [self = self_, node, at] {
+    if (node->wake_at == at) node->wake_at = 0;
     if (*self != nullptr) (*self)->dispatch(node);
   });
 }
@@ -243,15 +230,13 @@
   return n;
 }
 
-// Takes the call that comes first, if there is one that may leave now.
-bool NodeClient::next_call(const NodePtr& node, Call& out) {
-  for (auto& calls : node->waiting) {
-    if (calls.empty()) continue;
-    out = std::move(calls.front());
-    calls.pop_front();
-    return true;
-  }
-  return false;
+// Takes the call that comes first; one waits.
+NodeClient::Call NodeClient::next_call(Node& node) {
+  const auto calls = std::find_if(std::begin(node.waiting), std::end(node.waiting),
+                                  [](const auto& of_kind) { return !of_kind.empty(); });
+  Call call = std::move(calls->front());
+  calls->pop_front();
+  return call;
 }
 
 void NodeClient::dispatch(const NodePtr& node) {
@@ -279,9 +264,7 @@
       }
     }
     if (free) {
-      Call call;
-      next_call(node, call);
-      send(node, free, std::move(call));
+      send(node, free, next_call(*node));
       continue;
     }
     if (first_free > 0) wake(node, first_free - now);
@@ -440,7 +423,7 @@
     return;
   }
   if (call.query->over) return;
-  const bool good = call.kind == Kind::kPage ? page(node, call, response) : news(node, call, response);
+  const bool good = call.kind == Kind::kPage ? page(call, response) : news(node, call, response);
   if (good) return;
   ++counts_.spoilt;
   broken(node, std::move(call));
@@ -456,7 +439,7 @@
       query->breaks = 0;
       query->doubtful = false;
       const std::string_view remark = http::find(response.fields, "x-remark");
-      const std::optional<double> figure = number(http::find(response.fields, "figure"));
+      const std::optional<double> figure = read_figure(http::find(response.fields, "figure"));
       queue(node, {Kind::kNews, query, 0, 0});
       if (figure && remark == "done") carrier_->attempt_note(query->key, NoteKind::kProgress, *figure);
       if (figure && remark == "spills") carrier_->attempt_note(query->key, NoteKind::kSpill, *figure);
@@ -466,8 +449,8 @@
     case 200: {
       const long long pages = http::whole_number(http::find(response.fields, "page-count"), kMostPages);
       std::optional<std::string> rows = rows_of(response.body);
-      const std::optional<double> work = number(http::find(response.fields, "work-ms"));
-      const std::optional<double> memory = number(http::find(response.fields, "peak-mb"));
+      const std::optional<double> work = read_figure(http::find(response.fields, "work-ms"));
+      const std::optional<double> memory = read_figure(http::find(response.fields, "peak-mb"));
       if (pages < 1 || !rows) return false;
       query->breaks = 0;
       if (work && *work > 0) query->result.work_us = *work * 1000;
@@ -483,13 +466,10 @@
       return true;
     }
     case 503:
+    case 504:  // its time was over: it never ran, where a time-out would say that it may have
       if (!shed) return false;
       end(query, Outcome::kFull);
       return true;
-    case 504:
-      if (!shed) return false;
-      end(query, Outcome::kFull);  // it never ran: a time-out would say that it may
-      return true;
     case 500:
       // Of a start that broke off: the node knows nothing of it. It may have run, but the node is well.
       query->result.engine_alive = query->doubtful;
@@ -500,7 +480,7 @@
   }
 }
 
-bool NodeClient::page(const NodePtr&, Call& call, const http::Response& response) {
+bool NodeClient::page(Call& call, const http::Response& response) {
   const QueryPtr query = call.query;
   if (response.status == 500) {
     end(query, Outcome::kError);
--- a/src/platform/node_client.h
+++ b/src/platform/node_client.h
@@ -19,7 +19,6 @@
 #include <vector>
 
 #include "base/clock.h"
-#include "base/log.h"
 #include "carrier/carrier.h"
 #include "http/reader.h"
 #include "membership/directory.h"
@@ -45,7 +44,7 @@
 // On the net's strand alone. The carrier must outlive every attempt, the client its loop's last turn.
 class NodeClient : public carrier::NodeTransport {
  public:
-  NodeClient(NodeClientOptions options, rpc::Dialer& net, Clock& clock, Log& log,
+  NodeClient(NodeClientOptions options, rpc::Dialer& net, Clock& clock,
              const membership::Directory& directory);
   ~NodeClient() override;
   void set_carrier(carrier::Carrier* carrier) { carrier_ = carrier; }
@@ -106,7 +105,7 @@
     std::list<ConnectionPtr> connections;
     size_t dialing = 0;
     size_t queries = 0;
-    bool woken = false;  // a dispatch is to come
+    TimeUs wake_at = 0;  // of the first dispatch that is to come; 0: none is
   };
   using NodePtr = std::shared_ptr<Node>;
   // Attempts of a request that may still be out, though nobody waits for them.
@@ -122,7 +121,7 @@
   void queue(const NodePtr& node, Call call, bool first = false);
   void dispatch(const NodePtr& node);
   void wake(const NodePtr& node, TimeUs after);
-  bool next_call(const NodePtr& node, Call& out);
+  static Call next_call(Node& node);
   size_t waiting(const Node& node) const;
   void send(const NodePtr& node, const ConnectionPtr& connection, Call call);
   void close(const NodePtr& node, const ConnectionPtr& connection);
@@ -131,7 +130,7 @@
   bool make_room();
   void answered(const NodePtr& node, Call call, const http::Response& response);
   bool news(const NodePtr& node, Call& call, const http::Response& response);
-  bool page(const NodePtr& node, Call& call, const http::Response& response);
+  bool page(Call& call, const http::Response& response);
   void broken(const NodePtr& node, Call call);
   void whole(const QueryPtr& query);
   void end(const QueryPtr& query, Outcome outcome);
@@ -144,7 +143,6 @@
   const NodeClientOptions options_;
   rpc::Dialer& net_;
   Clock& clock_;
-  Log& log_;
   const membership::Directory& directory_;
   carrier::Carrier* carrier_ = nullptr;
   std::map<EngineId, NodePtr> nodes_;
--- a/src/platform/pages.cpp
+++ b/src/platform/pages.cpp
@@ -55,6 +55,14 @@
   return out;
 }
 
+std::optional<double> read_figure(std::string_view text) {
+  double value = 0;
+  const auto [stop, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc() || stop != text.data() + text.size() || !std::isfinite(value) || value < 0)
+    return std::nullopt;
+  return value;
+}
+
 std::optional<LoadReport> read_meter(std::string_view text) {
   LoadReport report;
   bool any = false;
@@ -64,12 +72,8 @@
     text.remove_prefix(std::min(end + 1, text.size()));
     const size_t colon = item.find(':');
     if (colon == std::string_view::npos) continue;
-    const std::string_view digits = item.substr(colon + 1);
-    double value = 0;
-    const auto [stop, error] = std::from_chars(digits.data(), digits.data() + digits.size(), value);
-    if (error != std::errc() || stop != digits.data() + digits.size() || !std::isfinite(value) || value < 0)
-      continue;
-    any = set_report_value(report, item.substr(0, colon), value) || any;
+    if (const std::optional<double> value = read_figure(item.substr(colon + 1)))
+      any = set_report_value(report, item.substr(0, colon), *value) || any;
   }
   return any ? std::optional(report) : std::nullopt;
 }
--- a/src/platform/pages.h
+++ b/src/platform/pages.h
@@ -20,6 +20,9 @@
 // Whether a text is UTF-8 without control characters but tab and line ends.
 bool is_text(std::string_view text);
 
+// A finite number from 0 on, as nodes tell figures; nothing for anything else.
+std::optional<double> read_figure(std::string_view text);
+
 // A load report as "inflight:7;util:0.61". Values that can't be read are left out; none at all: nothing.
 std::optional<LoadReport> read_meter(std::string_view text);
 
--- a/src/rpc/asio_loop.cpp
+++ b/src/rpc/asio_loop.cpp
@@ -31,20 +31,11 @@
   timer_.async_wait([this](const boost::system::error_code& error) {
     if (error) return;  // armed anew, for an earlier call
     armed_for_ = 0;
-    call_due();
+    timers_.call_due(now());
     arm();
   });
 }
 
-void AsioLoop::call_due() {
-  // Not those that these calls ask for: they find the sockets looked at in between.
-  const TimeUs until = now();
-  while (!timers_.empty() && timers_.next_at() <= until) {
-    const std::function<void()> fn = timers_.take();
-    fn();
-  }
-}
-
 void AsioLoop::run() {
   context_.restart();
   context_.run();
--- a/src/rpc/asio_loop.h
+++ b/src/rpc/asio_loop.h
@@ -39,7 +39,6 @@
 
  private:
   void arm();
-  void call_due();
 
   const SteadyClock steady_;
   const std::chrono::steady_clock::time_point base_;
--- a/src/rpc/grpc_loop.cpp
+++ b/src/rpc/grpc_loop.cpp
@@ -77,15 +77,6 @@
   alarm->Set(queue_.get(), gpr_time_0(GPR_CLOCK_MONOTONIC), tag->give_out());
 }
 
-void GrpcLoop::call_due() {
-  // Not those that these calls ask for: they find the sockets looked at in between.
-  const TimeUs until = now();
-  while (!timers_.empty() && timers_.next_at() <= until) {
-    const std::function<void()> fn = timers_.take();
-    fn();
-  }
-}
-
 gpr_timespec GrpcLoop::wait() const {
   if (timers_.empty()) return gpr_inf_future(GPR_CLOCK_MONOTONIC);
   const TimeUs left = timers_.next_at() - now();
@@ -98,7 +89,7 @@
   while (!ending_) {
     context_.poll();
     if (!timers_.empty()) {
-      call_due();
+      timers_.call_due(now());
       context_.poll();
     }
     if (queue_->AsyncNext(&tag, &ok, wait()) == grpc::CompletionQueue::GOT_EVENT)
--- a/src/rpc/grpc_loop.h
+++ b/src/rpc/grpc_loop.h
@@ -66,7 +66,6 @@
 
  private:
   void work();
-  void call_due();
   gpr_timespec wait() const;
   void wake();
 
--- a/src/service/platform_service.cpp
+++ b/src/service/platform_service.cpp
@@ -1,6 +1,5 @@
 #include "service/platform_service.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace sablelink::service {
@@ -42,7 +41,7 @@
   to_nodes.idle_close_us = config_.idle_close_us;
   to_nodes.second_copies = config_.settings.second_copies;
   to_nodes.classes = config_.names.classes;
-  nodes_ = std::make_unique<platform::NodeClient>(to_nodes, *net_, loop_, *log_, directory_);
+  nodes_ = std::make_unique<platform::NodeClient>(to_nodes, *net_, loop_, directory_);
   carrier::CarrierLimits limits;
   limits.hold_bytes_all = (config_.memory_mb << 20) / kHeldShare;
   carrier_ = std::make_unique<carrier::Carrier>(config_.settings, config_.seed, limits, loop_, *nodes_,
@@ -52,7 +51,7 @@
   to_clients.classes = config_.names.classes;
   for (const ClassSettings& cls : config_.settings.classes) to_clients.patience_us.push_back(cls.deadline_us);
   to_clients.connections = budget.clients;
-  front_ = std::make_unique<platform::Front>(to_clients, *carrier_, *net_, loop_, *log_);
+  front_ = std::make_unique<platform::Front>(to_clients, *carrier_, *net_, loop_);
   changes_ = std::make_unique<platform::ChangeLog>(
       *net_, loop_, *log_, [this](const std::vector<config::NodeConfig>& nodes) { told(nodes); });
   loop_.post([this] {
--- a/src/sql/shape.cpp
+++ b/src/sql/shape.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <vector>
 
+#include "base/text.h"
 #include "sql/statement.h"
 
 namespace sablelink::sql {
@@ -23,13 +24,6 @@
   return std::find(words.begin(), words.end(), word) != words.end();
 }
 
-std::string lower(std::string_view text) {
-  std::string out(text);
-  for (char& c : out)
-    if (c >= 'A' && c <= 'Z') c = static_cast<char>(c - 'A' + 'a');
-  return out;
-}
-
 // White space and comments on which every reader agrees: "-- " to the line's end, /* */ without another
 // beginning inside and without a sign that makes its content count.
 bool plain_gap(std::string_view gap) {
@@ -94,7 +88,7 @@
 
   void token(const Token& t) {
     if (t.kind == TokenKind::kWord) {
-      const std::string word = lower(t.text);
+      const std::string word = lowered(t.text);
       Block& block = blocks_.back();
       if (among(word, kFiltering) && block.named_from) block.folding = true;
       if (among(word, kEnding)) block.folding = false;
--- a/src/sql/statement.cpp
+++ b/src/sql/statement.cpp
@@ -4,6 +4,8 @@
 #include <array>
 #include <stdexcept>
 
+#include "base/text.h"
+
 namespace sablelink::sql {
 namespace {
 
@@ -16,13 +18,6 @@
 }
 bool is_word(char c) { return is_letter(c) || is_digit(c) || c == '$'; }
 
-std::string lower(std::string_view text) {
-  std::string out(text);
-  for (char& c : out)
-    if (c >= 'A' && c <= 'Z') c = static_cast<char>(c - 'A' + 'a');
-  return out;
-}
-
 class Lexer {
  public:
   explicit Lexer(std::string_view text) : text_(text) {}
@@ -211,7 +206,7 @@
     if (t.kind == TokenKind::kQuotedName)
       name += t.text.substr(1, t.text.size() >= 2 ? t.text.size() - 2 : 0);
     else if (t.kind == TokenKind::kWord)
-      name += lower(t.text);
+      name += lowered(t.text);
     else
       break;
     ++i;
@@ -240,7 +235,7 @@
       ++i;
       continue;
     }
-    const std::string word = lower(tokens[i].text);
+    const std::string word = lowered(tokens[i].text);
     const StatementKind lead = lead_kind(word);
     if (!led && lead != StatementKind::kOther) {
       info.kind = lead;
@@ -251,19 +246,19 @@
     }
     // A name before AS ( is local.
     if (i + 2 < tokens.size() && tokens[i + 1].kind == TokenKind::kWord &&
-        lower(tokens[i + 1].text) == "as" && tokens[i + 2].text == "(")
+        lowered(tokens[i + 1].text) == "as" && tokens[i + 2].text == "(")
       local.push_back(word);
     ++i;
     if (!announces_table(word)) continue;
     for (;;) {
       while (i < tokens.size() && tokens[i].kind == TokenKind::kWord &&
-             may_stand_between(lower(tokens[i].text)))
+             may_stand_between(lowered(tokens[i].text)))
         ++i;
       add(read_name(tokens, i));
       // FROM a, b and FROM a AS x, b
       if (word != "from") break;
       size_t j = i;
-      if (j < tokens.size() && tokens[j].kind == TokenKind::kWord && lower(tokens[j].text) == "as") ++j;
+      if (j < tokens.size() && tokens[j].kind == TokenKind::kWord && lowered(tokens[j].text) == "as") ++j;
       if (j < tokens.size() && tokens[j].kind == TokenKind::kWord && j + 1 < tokens.size() &&
           tokens[j + 1].text == ",")
         ++j;
--- a/tests/platform_harness.h
+++ b/tests/platform_harness.h
@@ -178,11 +178,11 @@
     platform::NodeClientOptions to_nodes;
     to_nodes.budget.nodes = node_connections;
     to_nodes.classes = options_.classes;
-    nodes_ = std::make_unique<platform::NodeClient>(to_nodes, net_, *actor_, log_, directory_);
+    nodes_ = std::make_unique<platform::NodeClient>(to_nodes, net_, *actor_, directory_);
     carrier_ = std::make_unique<carrier::Carrier>(settings_, 7, carrier::CarrierLimits{}, *actor_, *nodes_,
                                                   lists_, log_);
     nodes_->set_carrier(carrier_.get());
-    front_ = std::make_unique<platform::Front>(options_, *carrier_, net_, *actor_, log_);
+    front_ = std::make_unique<platform::Front>(options_, *carrier_, net_, *actor_);
     streams_.listen("gateway", actor_, [this](auto stream) { return front_->serve(std::move(stream)); });
     carrier_->start();
   }
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -25,8 +25,7 @@
   return id;
 }
 
-// ---- Whole answers
-// -----------------------------------------------------------------------------------------
+// ---- Whole answers ---------------------------------------------------------------------------------------
 
 TEST(Platform, AStatementComesBackWhole) {
   PlatformBench b;
@@ -229,8 +228,7 @@
   }
 }
 
-// ---- Attempts and rules
-// ------------------------------------------------------------------------------------
+// ---- Attempts and rules ----------------------------------------------------------------------------------
 
 carrier::AttemptOrder order(const std::string& id) {
   carrier::Statement statement;
@@ -373,8 +371,7 @@
   EXPECT_EQ(b.front().connections(), 0u);
 }
 
-// ---- Clients that send what they should not
-// ----------------------------------------------------------------
+// ---- Clients that send what they should not --------------------------------------------------------------
 
 TEST(Platform, WhatIsNoCallIsTurnedAwayAndReachesNoNode) {
   const std::string id = id_number(5);
@@ -514,8 +511,7 @@
   EXPECT_EQ(answer->body, R"({"failure":"Full"})");
 }
 
-// ---- Pure parts
-// --------------------------------------------------------------------------------------------
+// ---- Pure parts ------------------------------------------------------------------------------------------
 
 TEST(PlatformPages, RowsOfThreeColumnsAlone) {
   EXPECT_EQ(platform::rows_of(""), "");
@@ -583,8 +579,7 @@
   }
 }
 
-// ---- Configuration and change log
-// --------------------------------------------------------------------------
+// ---- Configuration and change log ------------------------------------------------------------------------
 
 const char* const kConfig = R"({"name":"n3","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964",
  "limits":{"cores":0.5,"memory_mb":64,"sockets":256},"changelog":"10.2.0.1:8500",
