The standstill's guard has a test on sockets that fails without it

On a loop with sockets both show together: the test now blocks that loop past the call's time, and fails without the guard (seen).

--- a/tests/platform_harness.h
+++ b/tests/platform_harness.h
@@ -270,7 +270,6 @@
   platform::Front& front() { return *front_; }
   carrier::Carrier& carrier() { return *carrier_; }
   const CountingLog& log() const { return log_; }
-  const std::shared_ptr<sim::Actor>& gateway() { return actor_; }
 
  private:
   struct NoLists : carrier::ListSource {
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -2,13 +2,18 @@
 // clients that send what they should not, the change log, the configuration.
 #include <gtest/gtest.h>
 
+#include <atomic>
+#include <chrono>
 #include <set>
+#include <thread>
 
 #include "platform/change_log.h"
 #include "platform/config.h"
 #include "platform/descriptors.h"
 #include "platform/pages.h"
 #include "platform_harness.h"
+#include "rpc/asio_loop.h"
+#include "rpc/tcp_stream.h"
 #include "settings.h"
 #include "sql/table_group.h"
 
@@ -25,6 +30,16 @@
   return id;
 }
 
+carrier::AttemptOrder order(const std::string& id) {
+  carrier::Statement statement;
+  statement.text = "SELECT 1";
+  statement.client_tag = id;
+  carrier::AttemptOrder out;
+  out.statement = std::make_shared<const carrier::Statement>(statement);
+  out.allow_us = 5 * kSecond;
+  return out;
+}
+
 // ---- Whole answers ---------------------------------------------------------------------------------------
 
 TEST(Platform, AStatementComesBackWhole) {
@@ -156,18 +171,63 @@
   EXPECT_EQ(pages, 2);
 }
 
+// On sockets, since there what waits to be read and what is due show together.
 TEST(Platform, AfterAStandstillAnswersAreReadBeforeTheyAreMissed) {
-  PlatformBench b;
-  ScriptedNode& node = b.add_node();
-  node.work_us = 150'000;
-  b.tell();
-  const auto answer = b.start(PlatformBench::statement(id_number(1)));
-  b.run_for(50 * kMs);
-  b.gateway()->stall(600 * kMs);
-  b.run_for(kSecond);
-  EXPECT_EQ(answer->status, 200);
-  EXPECT_EQ(b.nodes().counts().overdue, 0u);
-  EXPECT_EQ(node.seen.size(), 1u);
+  const auto wall = [] { return std::chrono::system_clock::now(); };
+  const auto steady = [] { return std::chrono::steady_clock::now(); };
+  rpc::AsioLoop there(wall, steady), here(wall, steady);
+  auto far = std::make_unique<rpc::TcpNet>(there), net = std::make_unique<rpc::TcpNet>(here);
+  std::atomic<int> asked{0};
+  config::NodeConfig node;
+  node.name = "n";
+  node.address =
+      "127.0.0.1:" + std::to_string(far->listen("127.0.0.1:0", [&](auto stream) -> rpc::Awaitable<void> {
+        for (;;) {
+          const std::optional<std::string> bytes = co_await stream->read(4096);
+          if (!bytes || bytes->empty()) co_return;
+          ++asked;
+          co_await pause(there, 100 * kMs);
+          const std::string answer = http::write_response(200, {{"Page-Count", "1"}}, "a\tb\tc\n", true);
+          co_await rpc::write_all(*stream, answer);
+        }
+      }));
+  membership::Directory directory;
+  directory.replace({node});
+  platform::NodeClientOptions options;
+  options.budget.nodes = 4;
+  options.classes = {"lookup"};
+  auto nodes = std::make_unique<platform::NodeClient>(options, *net, here, directory);
+  struct NoLists : carrier::ListSource {
+    void subscribe(bool) override {}
+    void fetch() override {}
+  } lists;
+  NullLog log;
+  carrier::Carrier carrier(plain_settings(), 7, {}, here, *nodes, lists, log);
+  nodes->set_carrier(&carrier);
+  nodes->nodes_changed();
+  nodes->start({7, 0}, directory.entries()[0].engine, order(id_number(7)));
+  std::thread node_thread([&] { there.run(); });
+  // Stands still as soon as the call has left, well past the time at which it is given up.
+  bool stood = false;
+  std::function<void()> look = [&] {
+    if (!stood && nodes->counts().calls > 0) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(600));
+      stood = true;
+    }
+    if (stood && nodes->queries() == 0) return here.stop();
+    here.call_after(kMs, [&] { look(); });
+  };
+  here.call_after(0, [&] { look(); });
+  here.run();
+  EXPECT_EQ(nodes->counts().overdue, 0u);
+  EXPECT_EQ(asked, 1);
+  nodes.reset();
+  net.reset();
+  here.poll();
+  there.stop();
+  node_thread.join();
+  far.reset();
+  there.poll();
 }
 
 // A second copy of an answer must not be taken for the next call's.
@@ -230,16 +290,6 @@
 
 // ---- Attempts and rules ----------------------------------------------------------------------------------
 
-carrier::AttemptOrder order(const std::string& id) {
-  carrier::Statement statement;
-  statement.text = "SELECT 1";
-  statement.client_tag = id;
-  carrier::AttemptOrder out;
-  out.statement = std::make_shared<const carrier::Statement>(statement);
-  out.allow_us = 5 * kSecond;
-  return out;
-}
-
 // Rule 2: where second copies aren't allowed the next attempt reaches its node only once the one before is
 // known to be given up.
 TEST(Platform, TheNextAttemptWaitsUntilTheOneBeforeIsGivenUp) {
