Byte streams tell what waits to be read; a listener that closes takes its backlog first

Need: a connection that by all that was read of it is at rest may have a request in the kernel; and whoever is connected when the listener closes, but not yet accepted, is reset by that close with its request.

ByteStream::readable() and peer_left() ask the system (poll) or say what the read that is awaited has come to. TcpNet::stop_listening() accepts what is connected already, and serves a connection whose accept ended in the same turn; before, Acceptor::close() dropped both.

--- a/src/rpc/byte_stream.h
+++ b/src/rpc/byte_stream.h
@@ -27,6 +27,10 @@
   // Takes the first of the bytes, as many as there is room for; how many: 0 where the connection is broken or
   // closed. The bytes must stay until then.
   virtual Awaitable<size_t> write(std::string_view bytes) = 0;
+  // Something waits to be read: bytes, an end or a break.
+  virtual bool readable() const = 0;
+  // The other side has ended its part, or the connection is broken; bytes from before may wait to be read.
+  virtual bool peer_left() const = 0;
   // Nothing more is written from here; what was written arrives, and reading goes on.
   virtual void end() = 0;
   // Whoever waits here hears that it is closed. Without end() before, the other side's connection breaks, and
--- a/src/rpc/tcp_stream.cpp
+++ b/src/rpc/tcp_stream.cpp
@@ -1,5 +1,7 @@
 #include "rpc/tcp_stream.h"
 
+#include <poll.h>
+
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -55,6 +57,7 @@
     std::string bytes;
     error_code error;
     size_t count = 0;
+    bool over = false;
     Signal done;
   };
 
@@ -64,7 +67,10 @@
     on_context([self = shared_from_this(), op] {
       self->socket_.async_read_some(asio::buffer(op->bytes), self->over(op));
     });
+    reading_ = op;
     co_await op->done.wait();
+    reading_ = nullptr;
+    if (op->error == asio::error::eof) peer_left_ = true;
     if (op->error == asio::error::eof) co_return std::string();
     if (op->error) co_return std::nullopt;
     op->bytes.resize(op->count);
@@ -81,6 +87,9 @@
     co_return op->error ? 0 : op->count;
   }
 
+  bool readable() const override { return (reading_ && reading_->over) || polled(POLLIN); }
+  bool peer_left() const override { return peer_left_ || polled(POLLRDHUP); }
+
   void end() override {
     on_context([self = shared_from_this()] {
       error_code ignored;
@@ -115,10 +124,20 @@
     return [self = shared_from_this(), op = std::move(op)](error_code error, size_t count) {
       op->error = error;
       op->count = count;
-      self->post_([op] { op->done.give(); });
+      self->post_([op] {
+        op->over = true;
+        op->done.give();
+      });
     };
   }
 
+  // What the system knows of the socket, at once. Where another thread may close it, nothing is asked.
+  bool polled(short events) const {
+    if (!direct_ || !socket_.is_open()) return false;
+    pollfd one{const_cast<tcp::socket&>(socket_).native_handle(), events, 0};
+    return ::poll(&one, 1, 0) > 0 && (one.revents & (events | POLLERR | POLLHUP)) != 0;
+  }
+
   template <typename Fn>
   void on_context(Fn fn) {
     if (direct_)
@@ -132,6 +151,8 @@
   const std::function<void(std::function<void()>)> post_;
   tcp::socket socket_;
   bool ended_ = false;
+  std::shared_ptr<Operation> reading_;  // the read that is awaited
+  bool peer_left_ = false;
 };
 
 namespace {
@@ -143,6 +164,8 @@
   ~Held() override { socket_->close(); }
   Awaitable<std::optional<std::string>> read(size_t most) override { return socket_->read(most); }
   Awaitable<size_t> write(std::string_view bytes) override { return socket_->write(bytes); }
+  bool readable() const override { return socket_->readable(); }
+  bool peer_left() const override { return socket_->peer_left(); }
   void end() override { socket_->end(); }
   void close() override { socket_->close(); }
 
@@ -163,19 +186,37 @@
     closed_ = true;
     acceptor_.close(ignored);
   }
+  // Whoever is connected already may have sent a request, which a close of the listener would reset.
+  void stop() {
+    accept_pending();
+    error_code ignored;
+    stopped_ = true;
+    acceptor_.close(ignored);
+  }
+  void accept_pending() {
+    error_code error;
+    acceptor_.non_blocking(true, error);
+    for (;;) {
+      const auto socket = std::make_shared<Socket>(net_.context_, !net_.own_, net_.strand_.post);
+      acceptor_.accept(socket->raw(), error);
+      if (error) return;
+      serve(socket);
+    }
+  }
   void accept() {
     const auto socket = std::make_shared<Socket>(net_.context_, !net_.own_, net_.strand_.post);
     acceptor_.async_accept(socket->raw(), [self = shared_from_this(), socket](error_code error) {
       if (self->closed_) return;
+      if (!error) self->serve(socket);  // also where it was accepted in the turn in which the listener stops
+      if (self->stopped_) return;
       if (!error) {
-        self->serve(socket);
         self->accept();
         return;
       }
       // Out of descriptors, most likely: who waits to be accepted keeps waiting until there are some.
       self->pause_.expires_after(kAcceptPause);
       self->pause_.async_wait([self](error_code) {
-        if (!self->closed_) self->accept();
+        if (!self->closed_ && !self->stopped_) self->accept();
       });
     });
   }
@@ -197,7 +238,8 @@
   TcpNet& net_;
   tcp::acceptor acceptor_;
   asio::steady_timer pause_;
-  bool closed_ = false;
+  bool closed_ = false;   // with the net
+  bool stopped_ = false;  // before it
   const StreamHandler handler_;
 };
 
@@ -238,7 +280,7 @@
 
 void TcpNet::stop_listening() {
   on_context([this] {
-    for (const auto& acceptor : acceptors_) acceptor->close();
+    for (const auto& acceptor : acceptors_) acceptor->stop();
   });
 }
 
--- a/src/rpc/tcp_stream.h
+++ b/src/rpc/tcp_stream.h
@@ -28,6 +28,7 @@
 
 class TcpNet : public Dialer {
  public:
+  // Its streams know by reading alone what waits to be read: readable() and peer_left() are false before.
   explicit TcpNet(Strand strand);
   // On the loop's own thread, with no other. Made and ended while the loop doesn't run, or on it.
   explicit TcpNet(AsioLoop& loop);
@@ -40,7 +41,7 @@
   // Serves connections at host:port, port 0 for any, from now until the net's end; the port. Throws
   // std::runtime_error with the address where that can't be.
   int listen(const std::string& address, StreamHandler handler);
-  // Takes no further connections; those that stand stay.
+  // Serves the connections that are made already, and takes no further ones; those that stand stay.
   void stop_listening();
   boost::asio::any_io_executor executor() const override { return strand_.executor; }
   Awaitable<std::shared_ptr<ByteStream>> connect(std::string address, TimeUs within,
--- a/src/sim/streams.cpp
+++ b/src/sim/streams.cpp
@@ -74,6 +74,15 @@
     co_return n;
   }
 
+  bool readable() const override {
+    const Connection::Side& here = connection_->sides[side_];
+    return !here.in.empty() || here.in_end || here.broken;
+  }
+  bool peer_left() const override {
+    const Connection::Side& here = connection_->sides[side_];
+    return here.in_end || here.broken;
+  }
+
   void end() override {
     Connection::Side& here = connection_->sides[side_];
     if (here.broken || std::exchange(here.ended, true)) return;
