--- a/src/platform/change_log.cpp
+++ b/src/platform/change_log.cpp
@@ -46,6 +46,7 @@
     }
     partial_ += bytes.substr(0, end);
     bytes.remove_prefix(end + 1);
+    ++lines_;
     ChangeEvent event;
     const std::string line = std::exchange(partial_, {});
     switch (read(line, event)) {
@@ -123,18 +124,20 @@
 
 rpc::Awaitable<void> ChangeLog::follow(uint64_t life, std::string address) {
   const std::shared_ptr<ChangeLog*> self = self_;
-  const auto over = [&] { return *self == nullptr || life != life_; };
+  const auto over = [&] { return *self == nullptr || life < stands_; };
+  const auto dials = [&] { return *self != nullptr && life == life_; };
   TimeUs rest = 0;
   while (true) {
     if (rest > 0) co_await pause(clock_, rest);
-    if (over()) co_return;
+    if (!dials()) co_return;
     rest = std::clamp(rest * 2, kFirstPauseUs, kMostPauseUs);
     const std::shared_ptr<rpc::ByteStream> stream = co_await net_.connect(address, kDialUs);
-    if (over()) co_return;
+    if (!dials()) co_return;
     if (!stream) continue;
-    // From here on this connection is the one: whatever an earlier one still tells is known by number.
+    // From here on this connection is the one: whatever an earlier one still tells is asked for by number.
     if (stream_) stream_->close();
     stream_ = stream;
+    stands_ = life;
     sequence_->begin();
     const std::string ask = "since " + std::to_string(sequence_->last()) + "\n";
     const bool asked = co_await rpc::write_all(*stream, ask);
@@ -161,11 +164,13 @@
       const std::optional<std::string> bytes = co_await stream->read(kPiece);
       if (over()) co_return;
       if (!bytes || bytes->empty()) break;
-      *heard = clock_.now();
-      rest = 0;
       bool trusted = true;
+      const uint64_t lines = sequence_->lines();
       apply([&](const auto& each) { trusted = sequence_->feed(*bytes, each); });
       if (!trusted) break;
+      if (sequence_->lines() == lines) continue;  // part of a line is no sign of life
+      *heard = clock_.now();
+      rest = 0;
     }
     stream->close();
     if (rest == 0) rest = kFirstPauseUs / 2;
--- a/src/platform/change_log.h
+++ b/src/platform/change_log.h
@@ -27,6 +27,7 @@
     kAskAgain  // what can't be read, or a gap: the connection's text is no longer trusted
   };
   uint64_t last() const { return last_; }
+  uint64_t lines() const { return lines_; }  // whole ones, so far
   // A new connection begins: what came of a line before counts no more.
   void begin() { partial_.clear(); }
   // Takes bytes and calls apply for each event that is next. False: ask again on a new connection.
@@ -38,7 +39,7 @@
  private:
   Line read(std::string_view line, ChangeEvent& event);
 
-  uint64_t last_;
+  uint64_t last_, lines_ = 0;
   const Names names_;
   std::string partial_;
 };
@@ -54,8 +55,8 @@
   std::map<std::string, config::NodeConfig> nodes_;
 };
 
-// The connection: asks for what is missing, again after each break and wherever nothing has come for longer
-// than the log's heartbeat allows. On the net's strand alone.
+// The connection: asks for what is missing, again after each break and wherever no whole line has come for
+// longer than the log's heartbeat allows. On the net's strand alone.
 class ChangeLog {
  public:
   using Told = std::function<void(const std::vector<config::NodeConfig>&)>;
@@ -66,7 +67,7 @@
 
   // Begins with the events that the configuration holds.
   void start(const PlatformConfig& config);
-  // Goes on at another address; the numbers continue.
+  // Goes on at another address; the numbers continue. The old connection counts until the new one stands.
   void move(const PlatformConfig& config);
 
  private:
@@ -81,7 +82,8 @@
   std::unique_ptr<ChangeSequence> sequence_;
   NodeList list_;
   std::shared_ptr<rpc::ByteStream> stream_;  // the connection that is followed now
-  uint64_t life_ = 0;                        // a follower of an earlier one ends
+  uint64_t life_ = 0;                        // of the latest follower: an earlier one dials no more
+  uint64_t stands_ = 0;                      // of the latest with a connection: earlier ones are over
   std::shared_ptr<ChangeLog*> self_;         // coroutines that outlive the log find it empty
 };
 
--- a/src/platform/config.cpp
+++ b/src/platform/config.cpp
@@ -113,6 +113,9 @@
   if (const json::value* services = settings.if_contains("Services"); services && services->is_array())
     for (const json::value& s : services->get_array())
       names.classes.push_back(s.is_object() ? string_at(s.get_object(), "Name") : "");
+  if (const json::value* tenants = settings.if_contains("Tenants"); tenants && tenants->is_array())
+    for (const json::value& t : tenants->get_array())
+      names.tenants.push_back(t.is_object() ? string_at(t.get_object(), "Name") : "");
   if (const json::value* report = settings.if_contains("Report"); report && report->is_object())
     names.report_fields = texts(report->get_object().if_contains("Fields"));
   return names;
--- a/src/platform/config.h
+++ b/src/platform/config.h
@@ -31,7 +31,7 @@
 
 // The names that the platform's messages use for what settings list by index.
 struct Names {
-  std::vector<std::string> classes, zones, kinds, report_fields;
+  std::vector<std::string> classes, zones, kinds, report_fields, tenants;
 };
 
 struct PlatformConfig {
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -1,10 +1,15 @@
 #include "platform/front.h"
 
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <deque>
 #include <utility>
 
+#include "base/signal.h"
 #include "platform/pages.h"
 #include "sql/table_group.h"
 
@@ -21,17 +26,34 @@
 constexpr TimeUs kLeastPatienceUs = 1'000;
 constexpr TimeUs kPatienceSlackUs = 1'000'000;  // over the class's patience, before a wait is out of range
 constexpr long long kMostFigure = 1'000'000'000;
+constexpr size_t kMostName = 256;
 constexpr size_t kPiece = 8 << 10;
-constexpr size_t kBacklog = 16 << 10;  // bytes of calls that came before the answer to the one before
+constexpr size_t kBacklog = 16 << 10;     // bytes of calls that came before the answer to the one before
+constexpr TimeUs kSettleUs = 15'000;      // a new connection's first bytes are on their way for a round trip
+constexpr size_t kSurplusShare = 10;      // one connection in so many is for telling that there is no room
+constexpr TimeUs kStalledUs = 1'000'000;  // half a call that stands for so long yields to others
+constexpr TimeUs kPartedUs = 100'000;     // by then a client has read why it is turned away
+constexpr TimeUs kArrivalUs = 1'000;      // arrivals closer than that count as one
 
 std::string failure(std::string_view word) { return R"({"failure":")" + std::string(word) + "\"}"; }
 
+// The module's number for a name; never 0, which says that there is none.
+uint64_t order_key(std::string_view name) {
+  return std::max<uint64_t>(XXH3_64bits(name.data(), name.size()), 1);
+}
+
 bool is_id(std::string_view id) {
   return id.size() == 16 && std::all_of(id.begin(), id.end(), [](char c) {
            return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f');
          });
 }
 
+// What may be passed on as a field's value, or stand empty.
+bool is_name(std::string_view text) {
+  return text.size() <= kMostName &&
+         std::all_of(text.begin(), text.end(), [](char c) { return c > 0x20 && c < 0x7f; });
+}
+
 }  // namespace
 
 Call read_call(const http::Request& request, const FrontOptions& options) {
@@ -48,7 +70,8 @@
   if (cls == options.classes.end()) return wrong(404, "no such class");
   if (request.method != "POST") return wrong(405, "statements come by POST");
   call.cls = static_cast<int>(cls - options.classes.begin());
-  for (const char* once : {"x-request-id", "x-timeout-ms", "x-retry"})
+  for (const char* once : {"x-request-id", "x-timeout-ms", "x-retry", "x-tenant", "x-object", "x-cost-ms",
+                           "x-est-mb", "idempotency-key"})
     if (http::count(request.fields, once) > 1) return wrong(400, "a field stands more than once");
   call.id = http::find(request.fields, "x-request-id");
   if (!is_id(call.id)) return wrong(400, "X-Request-Id is not 16 hex digits");
@@ -64,6 +87,20 @@
   for (const auto& [name, value] : request.fields)
     if ((name.ends_with("-ms") || name.ends_with("-mb")) && http::whole_number(value, kMostFigure) < 0)
       return wrong(400, "a field of milliseconds or megabytes holds no number");
+  if (const std::string_view cost = http::find(request.fields, "x-cost-ms"); !cost.empty())
+    call.cost_us = 1000.0 * http::whole_number(cost, kMostFigure);
+  if (const std::string_view need = http::find(request.fields, "x-est-mb"); !need.empty())
+    call.need_mb = http::whole_number(need, kMostFigure);
+  if (const std::string_view tenant = http::find(request.fields, "x-tenant"); !tenant.empty()) {
+    const auto it = std::find(options.tenants.begin(), options.tenants.end(), tenant);
+    if (it == options.tenants.end()) return wrong(400, "no such tenant");
+    call.tenant = static_cast<int>(it - options.tenants.begin());
+  }
+  // Both go to the nodes as they came.
+  call.idempotency_key = http::find(request.fields, "idempotency-key");
+  call.object = http::find(request.fields, "x-object");
+  for (const std::string& name : {call.idempotency_key, call.object})
+    if (!is_name(name)) return wrong(400, "a key is longer than 256 bytes or holds other than plain signs");
   if (request.body.empty()) return wrong(400, "there is no statement");
   if (!is_text(request.body)) return wrong(400, "the statement is no text");
   return call;
@@ -87,21 +124,40 @@
   }
 
   Stage stage() const { return stage_; }
-  bool silent() const { return stage_ == Stage::kReading && reader_.fresh(); }
-  bool served() const { return calls_ > 0; }
   TimeUs since() const { return since_; }
+  void be_surplus() { surplus_ = true; }
+  // Nothing is open, and nothing has come of a next call.
+  bool at_rest() const { return stage_ == Stage::kReading && reader_.fresh() && !stream_->readable(); }
+  bool gone() const { return stage_ == Stage::kClosed || stream_->peer_left(); }
+  // More is not read before an answer has made room.
+  bool full() const {
+    return (stage_ == Stage::kOpen || stage_ == Stage::kWriting) && reader_.buffered() > kBacklog;
+  }
+  rpc::Awaitable<void> room() { return room_.wait(); }
+  void let_go() { room_.give(); }
+
+  // How readily it is given up for one that comes new; 0: not at all.
+  int eviction_rank(TimeUs now) const {
+    const TimeUs age = now - since_;
+    if (stage_ == Stage::kLingering) return age > kPartedUs ? 4 : 0;
+    if (stage_ != Stage::kReading) return 0;
+    if (!reader_.fresh()) return age > kStalledUs ? 1 : 0;
+    if (stream_->readable()) return 0;
+    return calls_ > 0 ? 2 : age > kSettleUs ? 3 : 0;
+  }
 
   void feed(std::string_view bytes) {
     switch (stage_) {
       case Stage::kReading:
         if (reader_.fresh() && calls_ > 0) since_ = front_.clock_.now();
+        arrived(bytes.size());
         state_ = reader_.feed(bytes);
         advance();
         return;
       case Stage::kOpen:
       case Stage::kWriting:
+        arrived(bytes.size());
         reader_.feed(bytes);
-        if (reader_.buffered() > kBacklog) close();
         return;
       case Stage::kLingering:
         lingered_ += bytes.size();
@@ -114,7 +170,7 @@
 
   void answer(int status, const http::Fields& fields, const std::string& body, bool keep_alive) {
     ++front_.counts_.answers;
-    keep_alive = keep_alive && !front_.leaving_;
+    keep_alive = keep_alive && !front_.draining_ && !surplus_;
     stage_ = Stage::kWriting;
     since_ = front_.clock_.now();
     boost::asio::co_spawn(
@@ -145,9 +201,19 @@
     }
   }
 
+  // Nothing more is taken from here; what its client still sends is read, for a while, so that what was
+  // written to it isn't lost by a reset.
+  void half_close() {
+    stage_ = Stage::kLingering;
+    since_ = front_.clock_.now();
+    stream_->end();
+  }
+
   void close() {
     if (stage_ == Stage::kClosed) return;
+    if (stage_ == Stage::kReading) stream_->end();  // its last answer may be on its way
     stage_ = Stage::kClosed;
+    room_.give();
     stream_->close();
     if (const RequestId id = std::exchange(request_, 0); id != 0) {
       front_.open_ids_.erase(id_);
@@ -159,8 +225,10 @@
   void check(TimeUs now) {
     switch (stage_) {
       case Stage::kReading:
-        if (reader_.fresh() && calls_ > 0) {
-          if (now - since_ > kIdleUs) close();
+        if (stream_->readable()) return;  // it may be the call, or the end of it
+        if (reader_.fresh() && (calls_ > 0 || front_.closing_resting_)) {
+          const TimeUs most = !front_.closing_resting_ ? kIdleUs : calls_ > 0 ? 0 : kSettleUs;
+          if (now - since_ >= most) half_close();
         } else if (now - since_ > kCallUs) {
           ++front_.counts_.too_slow;
           turn_away(408, "no whole call has come in time");
@@ -173,15 +241,39 @@
         if (now - since_ > kLingerUs) close();
         return;
       case Stage::kOpen:
+        if (full() && stream_->peer_left()) close();  // whoever reads no further doesn't hear of it
+        return;
       case Stage::kClosed:
         return;
     }
   }
 
  private:
+  // So many bytes have come now.
+  void arrived(size_t bytes) {
+    const TimeUs now = front_.clock_.now();
+    came_ += bytes;
+    if (arrivals_.empty() || now - arrivals_.back().at > kArrivalUs)
+      arrivals_.push_back({came_, now});
+    else
+      arrivals_.back().up_to = came_;
+  }
+
+  // When the last byte of the call that was just taken came.
+  TimeUs call_arrived() {
+    const size_t up_to = came_ - reader_.buffered();
+    while (arrivals_.size() > 1 && arrivals_.front().up_to < up_to) arrivals_.pop_front();
+    return arrivals_.empty() ? front_.clock_.now() : arrivals_.front().at;
+  }
+
   // Takes the next call, if it has come whole.
   void advance() {
-    if (stage_ != Stage::kReading || state_ == http::ReadState::kMore) return;
+    if (stage_ != Stage::kReading) return;
+    if (state_ == http::ReadState::kMore) {
+      // All that has come is the beginning of one call, which counts from its last byte.
+      while (arrivals_.size() > 1) arrivals_.pop_front();
+      return;
+    }
     if (state_ == http::ReadState::kBad) {
       ++front_.counts_.unreadable;
       turn_away(reader_.error_status(), reader_.error());
@@ -194,7 +286,7 @@
     keep_alive_ = request.keep_alive;
     if (request.target == "/healthz") {
       const bool get = request.method == "GET";
-      answer(!get ? 405 : front_.leaving_ ? 503 : 200, {}, "", keep_alive_);
+      answer(!get ? 405 : front_.draining_ ? 503 : 200, {}, "", keep_alive_);
       return;
     }
     Call call = read_call(request, front_.options_);
@@ -207,6 +299,11 @@
       answer(call.status, {}, call.error, keep_alive_);
       return;
     }
+    if (surplus_) {
+      ++front_.counts_.no_room;
+      answer(503, {{"Content-Type", "application/json"}}, failure("Full"), false);
+      return;
+    }
     take(std::move(call), std::move(request));
   }
 
@@ -224,12 +321,11 @@
     }
     self->since_ = self->front_.clock_.now();
     if (!keep_alive) {
-      // A close while the client still sends would break what it is to read.
-      self->stage_ = Stage::kLingering;
-      self->stream_->end();
+      self->half_close();
       co_return;
     }
     self->stage_ = Stage::kReading;
+    self->room_.give();
     self->state_ = self->reader_.feed({});
     self->advance();
   }
@@ -242,6 +338,14 @@
   TimeUs since_;  // of the stage; while reading, of the call's first byte
   uint64_t calls_ = 0;
   size_t lingered_ = 0;  // bytes read of a client that has been turned away
+  struct Arrival {
+    size_t up_to = 0;  // of all the connection's bytes
+    TimeUs at = 0;
+  };
+  std::deque<Arrival> arrivals_;  // of bytes that aren't taken yet
+  size_t came_ = 0;               // bytes, all together
+  Signal room_;                   // for whoever waits to read on
+  bool surplus_ = false;          // it came when there was no room
   bool keep_alive_ = true;
   std::string id_;         // of the request that is open
   RequestId request_ = 0;  // 0: none is, or the carrier has answered already
@@ -254,6 +358,10 @@
   void finish(const carrier::FinalAnswer& answer) override {
     if (const auto connection = connection_.lock()) connection->finish(rows_, answer);
   }
+  bool gone() const override {
+    const auto connection = connection_.lock();
+    return !connection || connection->gone();
+  }
   bool consumes_at_once() const override { return true; }
 
  private:
@@ -265,9 +373,15 @@
   const auto statement = std::make_shared<carrier::Statement>();
   statement->text = std::move(request.body);
   statement->client_tag = call.id;
+  statement->idempotency_key = std::move(call.idempotency_key);
+  statement->object = std::move(call.object);
   QueryRequest query;
+  query.tenant = call.tenant;
+  query.cost_us = call.cost_us;
+  query.need_mb = call.need_mb;
+  if (!statement->object.empty()) query.key = order_key(statement->object);
   query.cls = call.cls;
-  query.due_us = front_.clock_.now() + call.patience_us;
+  query.due_us = call_arrived() + call.patience_us;
   query.table_group = sql::table_group(statement->text);
   query.client_repeat = call.repeat;
   id_ = call.id;
@@ -286,43 +400,48 @@
   sweep();
 }
 
-Front::~Front() { *self_ = nullptr; }
+Front::~Front() {
+  *self_ = nullptr;
+  for (const auto& c : connections_) c->let_go();
+}
 
-bool Front::quiet() const {
-  return std::none_of(connections_.begin(), connections_.end(), [](const auto& c) {
-    return c->stage() == Connection::Stage::kOpen || c->stage() == Connection::Stage::kWriting;
-  });
+void Front::close_resting() {
+  closing_resting_ = true;
+  for (const auto& c : std::list<std::shared_ptr<Connection>>(connections_)) c->check(clock_.now());
 }
 
-// Room for one more: of those without an open call the one that has said nothing for longest goes, then one
-// that was served and is idle.
-void Front::make_room() {
-  if (connections_.size() < options_.connections) return;
+// Room for one more: of those without an open call one that has been answered for good goes first, then one
+// that never said anything, one that was served and is at rest, half a call that stands still. Of each kind
+// the oldest. None of these that may have a call on its way: a new one, or one whose bytes wait to be read.
+bool Front::make_room() {
+  if (connections_.size() < options_.connections - options_.connections / kSurplusShare) return true;
+  const TimeUs now = clock_.now();
   std::shared_ptr<Connection> victim;
   int worst = 0;
   for (const auto& c : connections_) {
-    const int rank = c->stage() == Connection::Stage::kLingering                 ? 4
-                     : c->stage() == Connection::Stage::kReading && !c->served() ? 3
-                     : c->stage() == Connection::Stage::kReading && c->silent()  ? 2
-                     : c->stage() == Connection::Stage::kReading                 ? 1
-                                                                                 : 0;
+    const int rank = c->eviction_rank(now);
     if (rank > worst || (rank > 0 && rank == worst && c->since() < victim->since())) {
       worst = rank;
       victim = c;
     }
   }
-  if (!victim) return;
+  if (!victim) return false;
   ++counts_.evicted;
   victim->close();
   connections_.remove(victim);
+  return true;
 }
 
 rpc::Awaitable<void> Front::serve(std::shared_ptr<rpc::ByteStream> stream) {
   const std::shared_ptr<Front*> self = self_;
   ++counts_.connections;
-  make_room();
-  if (connections_.size() >= options_.connections) co_return;  // all are at work
+  const bool room = make_room();
+  if (connections_.size() >= options_.connections) {
+    ++counts_.no_room;
+    co_return;
+  }
   const auto connection = std::make_shared<Connection>(*this, stream);
+  if (!room) connection->be_surplus();
   connections_.push_back(connection);
   for (;;) {
     const std::optional<std::string> bytes = co_await stream->read(kPiece);
@@ -330,6 +449,10 @@
     if (connection->stage() == Connection::Stage::kClosed) break;
     if (!bytes || bytes->empty()) break;
     connection->feed(*bytes);
+    while (connection->full()) {
+      co_await connection->room();
+      if (*self == nullptr) co_return;
+    }
     if (connection->stage() == Connection::Stage::kClosed) break;
   }
   connection->close();  // its client is gone
--- a/src/platform/front.h
+++ b/src/platform/front.h
@@ -1,11 +1,15 @@
 // The platform's clients: one call at a time on each connection, each a statement that is answered as a
 // whole. What can't be read, or isn't a call that a client may make, gets an error and, where framing is
-// lost, a close; a connection that brings no whole call in time is closed.
+// lost, a close; a connection that brings no whole call in time is closed. Calls that come before the answer
+// to the one before (pipelining) wait, their times running.
+//
+// A connection is closed by half-close: nothing that comes after that is taken, and what was written arrives.
 #pragma once
 
 #include <cstdint>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_set>
 #include <vector>
@@ -18,9 +22,9 @@
 namespace sablelink::platform {
 
 struct FrontOptions {
-  std::vector<std::string> classes;
+  std::vector<std::string> classes, tenants;
   std::vector<TimeUs> patience_us;    // of each class: a longer wait is out of range
-  size_t connections = 100;           // at a time
+  size_t connections = 100;           // at a time; where all are at work, the last tenth is told so
   size_t statement_bytes = 64 << 10;  // longer ones are refused as wrong
 };
 
@@ -28,6 +32,7 @@
   uint64_t connections = 0, calls = 0, answers = 0;
   uint64_t unreadable = 0, wrong = 0;  // calls that were turned away as such
   uint64_t too_slow = 0, evicted = 0;  // connections closed: no whole call in time; for room
+  uint64_t no_room = 0;                // connections told that there is no room, or closed unread for it
 };
 
 // What a client's call asks for. Pure, for tests.
@@ -37,7 +42,10 @@
   int cls = 0;
   TimeUs patience_us = 0;
   bool repeat = false;
-  std::string id;
+  int tenant = 0;
+  std::optional<double> cost_us;  // the client's estimate of its work
+  double need_mb = 0;             // ... and of its memory; 0: none
+  std::string id, idempotency_key, object;
 };
 Call read_call(const http::Request& request, const FrontOptions& options);
 
@@ -48,10 +56,12 @@
   ~Front();
 
   rpc::Awaitable<void> serve(std::shared_ptr<rpc::ByteStream> stream);
-  // Clients are told to come no more: health says so, and connections close after their answers.
-  void leave() { leaving_ = true; }
-  // No answer is on its way to a client.
-  bool quiet() const;
+  // The drain begins: health says so, and connections close after their answers.
+  void drain() { draining_ = true; }
+  // Closes the connections at rest, now and from now on. What has come is still taken.
+  void close_resting();
+  // No client is connected, or waits for anything.
+  bool quiet() const { return connections_.empty(); }
 
   const FrontCounts& counts() const { return counts_; }
   size_t connections() const { return connections_.size(); }
@@ -60,7 +70,7 @@
   class Connection;
   class Reply;
 
-  void make_room();
+  bool make_room();
   void sweep();
 
   const FrontOptions options_;
@@ -69,7 +79,7 @@
   Clock& clock_;
   std::list<std::shared_ptr<Connection>> connections_;  // oldest first
   std::unordered_set<std::string> open_ids_;
-  bool leaving_ = false;
+  bool draining_ = false, closing_resting_ = false;
   FrontCounts counts_;
   std::shared_ptr<Front*> self_;  // coroutines and calls that outlive the front find it empty
 };
--- a/src/platform/node_client.cpp
+++ b/src/platform/node_client.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <cmath>
 
 #include "http/message.h"
 #include "platform/pages.h"
@@ -21,6 +22,7 @@
 // costs the client.
 constexpr TimeUs kCallUs = 120'000;
 constexpr TimeUs kSweepUs = 25'000;
+constexpr TimeUs kMostPauseUs = 200'000;  // between dials to a node that can't be reached
 // A connection rests that long after an answer, so that a second copy of it shows before the next call.
 constexpr TimeUs kRestUs = 5'000;
 constexpr int kMostBreaks = 6, kMostDeletes = 4;
@@ -54,6 +56,8 @@
     }
 }
 
+const std::string& NodeClient::ticket_of(const Query& query) { return query.order.statement->client_tag; }
+
 NodeClient::NodePtr NodeClient::node_of(EngineId id) {
   NodePtr& node = nodes_[id];
   if (!node) {
@@ -94,7 +98,7 @@
   const NodePtr node = node_of(engine);
   ++node->queries;
   if (!options_.second_copies) {
-    const auto it = leftovers_.find(key.request);
+    const auto it = leftovers_.find(ticket_of(*query));
     if (it != leftovers_.end()) {
       ++counts_.held_back;
       it->second.held.push_back(query);
@@ -137,13 +141,13 @@
   --node->queries;
   for (auto& calls : node->waiting)
     std::erase_if(calls, [&](const Call& c) { return c.query == query && c.kind != Kind::kDelete; });
-  const auto left = leftovers_.find(query->key.request);
+  const auto left = leftovers_.find(ticket_of(*query));
   if (left != leftovers_.end()) std::erase(left->second.held, query);
 }
 
 // It may be out there: the node is told, and its request's next attempt waits for the node's word.
 void NodeClient::give_up(const QueryPtr& query) {
-  Leftover& left = leftovers_[query->key.request];
+  Leftover& left = leftovers_[ticket_of(*query)];
   left.out.push_back(query);
   left.until = std::max(left.until, query->asked_at + kLetGoUs);
   const NodePtr node = node_of(query->engine);
@@ -163,14 +167,14 @@
 
 // Nothing of it is out any more.
 void NodeClient::given_up(const QueryPtr& query) {
-  const auto it = leftovers_.find(query->key.request);
+  const auto it = leftovers_.find(ticket_of(*query));
   if (it == leftovers_.end()) return;
   std::erase(it->second.out, query);
-  if (it->second.out.empty()) release(query->key.request);
+  if (it->second.out.empty()) release(ticket_of(*query));
 }
 
-void NodeClient::release(RequestId request) {
-  const auto it = leftovers_.find(request);
+void NodeClient::release(const std::string& ticket) {
+  const auto it = leftovers_.find(ticket);
   if (it == leftovers_.end()) return;
   const std::vector<QueryPtr> held = std::move(it->second.held);
   leftovers_.erase(it);
@@ -255,7 +259,7 @@
     size_t soon = node->dialing;
     TimeUs first_free = 0;
     for (const ConnectionPtr& c : node->connections) {
-      if (c->call) continue;
+      if (c->call || c->stream->readable()) continue;  // an end, or more than was asked for, waits to be read
       if (c->free_at > now) {
         ++soon;
         first_free = first_free == 0 ? c->free_at : std::min(first_free, c->free_at);
@@ -264,13 +268,22 @@
       }
     }
     if (free) {
-      send(node, free, next_call(*node));
+      Call call = next_call(*node);
+      // Much may have passed since a start was decided on.
+      const bool start = call.kind == Kind::kPost && call.query->order.may_leave;
+      if (start && !call.query->order.may_leave())
+        end(call.query, Outcome::kMoot);
+      else
+        send(node, free, std::move(call));
       continue;
     }
     if (first_free > 0) wake(node, first_free - now);
     if (soon >= waiting(*node)) break;
     if (node->connections.size() + node->dialing >= options_.budget.per_node(listed_)) break;
-    if (connections_ >= options_.budget.nodes && !make_room()) break;
+    if (connections_ >= options_.budget.nodes && !make_room()) {
+      wake(node, kSweepUs);  // others hold them all, and none tells when it is done
+      break;
+    }
     ++node->dialing;
     ++connections_;
     ++counts_.dials;
@@ -294,7 +307,7 @@
   ++counts_.calls;
   Query& query = *call.query;
   const TimeUs now = clock_.now();
-  const std::string& ticket = query.order.statement->client_tag;
+  const std::string& ticket = ticket_of(query);
   const std::string target = "/v2/q/" + ticket;
   std::string bytes;
   switch (call.kind) {
@@ -306,9 +319,17 @@
       http::Fields fields = {{"X-Ticket", ticket},
                              {"X-Queue", options_.classes[query.order.cls]},
                              {"X-Max-Ms", std::to_string((left + 999) / 1000)}};
+      const carrier::Statement& statement = *query.order.statement;
+      if (!statement.idempotency_key.empty()) fields.emplace_back("X-Nonce", statement.idempotency_key);
+      if (!statement.object.empty()) fields.emplace_back("X-Ref", statement.object);
+      if (query.order.grant_mb > 0) {
+        const auto grant = static_cast<long long>(std::ceil(query.order.grant_mb));
+        fields.emplace_back("Grant-Mb", std::to_string(grant));
+      }
       if (query.order.priority != 1) fields.emplace_back("Rank", std::to_string(query.order.priority));
-      bytes = http::write_request("POST", "/v2/q", node->address, fields, query.order.statement->text);
+      bytes = http::write_request("POST", "/v2/q", node->address, fields, statement.text);
       query.asked_at = query.posted_at = now;
+      query.posting = true;
       break;
     }
     case Kind::kPage:
@@ -341,6 +362,8 @@
     dial_failed(node, end);
     co_return;
   }
+  node->dial_pause = 0;
+  node->broken = false;
   const auto connection = std::make_shared<Connection>(read_limits());
   connection->stream = stream;
   connection->idle_since = clock_.now();
@@ -350,6 +373,7 @@
     const std::optional<std::string> bytes = co_await stream->read(kPiece);
     if (*self == nullptr || connection->closed) co_return;
     const bool ended = !bytes || bytes->empty();
+    if (!bytes) node->broken = true;
     if (!connection->call || (ended && (!bytes || connection->reader.finish() != http::ReadState::kDone))) {
       lost(node, connection);
       co_return;
@@ -364,8 +388,10 @@
     const bool reusable =
         !ended && !connection->reader.has_rest() && connection->reader.response().keep_alive;
     const http::Response response = connection->reader.take();
+    node->broken = false;
     Call call = std::move(*connection->call);
     connection->call.reset();
+    if (call.kind == Kind::kPost) call.query->posting = false;
     connection->idle_since = clock_.now();
     connection->free_at = connection->idle_since + kRestUs;
     if (!reusable) close(node, connection);
@@ -387,6 +413,7 @@
   const bool asked = connection->call.has_value();
   Call call;
   if (asked) call = *connection->call;
+  if (asked && call.kind == Kind::kPost) call.query->posting = false;
   connection->call.reset();
   close(node, connection);
   if (asked) {
@@ -396,27 +423,30 @@
   dispatch(node);
 }
 
-// A refusal proves that nothing there runs. Silence proves that what is still to start hasn't started.
+// A refusal proves that what is still to start hasn't started. What runs may go on: a node with as many
+// connections as it bears refuses more. It has died where its connections were reset and none stands.
 void NodeClient::dial_failed(const NodePtr& node, rpc::ConnectEnd end_of_dial) {
-  const bool dead = end_of_dial == rpc::ConnectEnd::kRefused;
-  ++(dead ? counts_.refused : counts_.dial_timeouts);
+  const bool refused = end_of_dial == rpc::ConnectEnd::kRefused;
+  const bool dead = refused && node->connections.empty() && node->broken;
+  ++(refused ? counts_.refused : counts_.dial_timeouts);
   const auto take = [&](Kind kind) { return std::exchange(node->waiting[static_cast<int>(kind)], {}); };
-  if (dead || node->connections.empty())
+  if (refused || node->connections.empty())
     for (const Call& call : take(Kind::kPost)) end(call.query, Outcome::kConnectFailed);
   if (dead) {
     for (const Kind kind : {Kind::kPage, Kind::kNews})
       for (const Call& call : take(kind)) end(call.query, Outcome::kReset);
     for (const Call& call : take(Kind::kDelete)) given_up(call.query);
   }
-  if (waiting(*node) > 0) wake(node, kSweepUs);
+  node->dial_pause = std::clamp(2 * node->dial_pause, kSweepUs, kMostPauseUs);
+  if (waiting(*node) > 0) wake(node, node->dial_pause);
 }
 
 // ---- Answers -------------------------------------------------------------------------------------------
 
 void NodeClient::answered(const NodePtr& node, Call call, const http::Response& response) {
   if (call.kind == Kind::kDelete) {
-    // 500: the node knows of no such query. Anything else is no word on it.
-    if (response.status == 204 || response.status == 500)
+    // 500: the node knows of no such query, unless its start is still on the way. Anything else is no word.
+    if (response.status == 204 || (response.status == 500 && !call.query->posting))
       given_up(call.query);
     else
       broken(node, std::move(call));
@@ -502,8 +532,13 @@
 void NodeClient::broken(const NodePtr& node, Call call) {
   const QueryPtr query = call.query;
   if (call.kind == Kind::kDelete) {
-    if (++call.tries < kMostDeletes) queue(node, std::move(call), true);
-    return;  // else the node lets go by itself, as the sweep will find
+    if (++call.tries >= kMostDeletes) return;  // the node lets go by itself, as the sweep will find
+    clock_.call_after(kOvertakeUs, [self = self_, node, call = std::move(call)] {
+      if (*self == nullptr) return;
+      (*self)->queue(node, call, true);
+      (*self)->wake(node, 0);
+    });
+    return;
   }
   if (query->over) return;
   if (call.kind == Kind::kPost) {
@@ -548,10 +583,10 @@
   for (const auto& [key, query] : queries_)
     if (query->asked_at > 0 && now - query->asked_at > kLetGoUs) silent.push_back(query);
   for (const QueryPtr& query : silent) end(query, Outcome::kReset);
-  std::vector<RequestId> over;
-  for (const auto& [request, left] : leftovers_)
-    if (now >= left.until) over.push_back(request);
-  for (const RequestId request : over) release(request);
+  std::vector<std::string> over;
+  for (const auto& [ticket, left] : leftovers_)
+    if (now >= left.until) over.push_back(ticket);
+  for (const std::string& ticket : over) release(ticket);
   clock_.call_after(kSweepUs, [self = self_] {
     if (*self != nullptr) (*self)->sweep();
   });
--- a/src/platform/node_client.h
+++ b/src/platform/node_client.h
@@ -73,6 +73,7 @@
     bool over = false;
     int breaks = 0;         // calls in a row that came to nothing
     bool doubtful = false;  // its start broke off: it is not known to have arrived
+    bool posting = false;   // its start is on a connection, unanswered
     carrier::AttemptResult result;
     std::vector<std::optional<std::string>> pages;  // rows
     size_t pages_missing = 0;
@@ -104,11 +105,13 @@
     std::deque<Call> waiting[4];  // by kind
     std::list<ConnectionPtr> connections;
     size_t dialing = 0;
+    TimeUs dial_pause = 0;  // after a dial that failed; grows until one succeeds
+    bool broken = false;    // a connection was reset, and nothing has come since
     size_t queries = 0;
     TimeUs wake_at = 0;  // of the first dispatch that is to come; 0: none is
   };
   using NodePtr = std::shared_ptr<Node>;
-  // Attempts of a request that may still be out, though nobody waits for them.
+  // Attempts under a client's id that may still be out, though nobody waits for them.
   struct Leftover {
     std::vector<QueryPtr> out;  // whose nodes' word is waited for
     TimeUs until = 0;           // the nodes have let go by then
@@ -117,6 +120,7 @@
 
   rpc::Awaitable<void> run_connection(NodePtr node);
   rpc::Awaitable<void> write(ConnectionPtr connection, std::string bytes);
+  static const std::string& ticket_of(const Query& query);
   NodePtr node_of(EngineId id);
   void queue(const NodePtr& node, Call call, bool first = false);
   void dispatch(const NodePtr& node);
@@ -137,7 +141,7 @@
   void forget(const QueryPtr& query);
   void give_up(const QueryPtr& query);
   void given_up(const QueryPtr& query);
-  void release(RequestId request);
+  void release(const std::string& ticket);
   void sweep();
 
   const NodeClientOptions options_;
@@ -147,8 +151,8 @@
   carrier::Carrier* carrier_ = nullptr;
   std::map<EngineId, NodePtr> nodes_;
   std::map<std::pair<RequestId, int>, QueryPtr> queries_;
-  std::map<RequestId, Leftover> leftovers_;
-  size_t connections_ = 0;  // with those being dialled
+  std::map<std::string, Leftover> leftovers_;  // by the client's id, under which nodes know them
+  size_t connections_ = 0;                     // with those being dialled
   size_t listed_ = 0;
   TimeUs swept_at_ = 0;
   NodeClientCounts counts_;
--- a/src/service/platform_service.cpp
+++ b/src/service/platform_service.cpp
@@ -2,11 +2,11 @@
 
 #include <utility>
 
+#include "platform/drain.h"
+
 namespace sablelink::service {
 namespace {
 
-// After a signal to stop, requests keep coming on new connections and then on open ones for up to 0.6 s.
-constexpr TimeUs kTakeOnUs = 800'000;
 constexpr TimeUs kQuietStepUs = 10'000;
 constexpr size_t kHeldShare = 8;  // of the memory limit, for answers that are held until they are whole
 
@@ -49,6 +49,7 @@
   nodes_->set_carrier(carrier_.get());
   platform::FrontOptions to_clients;
   to_clients.classes = config_.names.classes;
+  to_clients.tenants = config_.names.tenants;
   for (const ClassSettings& cls : config_.settings.classes) to_clients.patience_us.push_back(cls.deadline_us);
   to_clients.connections = budget.clients;
   front_ = std::make_unique<platform::Front>(to_clients, *carrier_, *net_, loop_);
@@ -94,15 +95,21 @@
 void PlatformService::stop() {
   if (std::exchange(stopping_, true)) return;
   log_->info("stopping", {{"open", std::to_string(carrier_->open())}});
-  front_->leave();
-  loop_.call_after(kTakeOnUs, [this] {
-    net_->stop_listening();
-    end_when_quiet();
-  });
+  front_->drain();
+  const auto times = platform::DrainTimes::of(config_.settings);
+  end_by_ = loop_.now() + times.end;
+  loop_.call_after(times.stop_taking, [this] { stop_taking(); });
+  loop_.call_after(times.give_up, [this] { carrier_->give_up(); });
+}
+
+void PlatformService::stop_taking() {
+  net_->stop_listening();
+  front_->close_resting();
+  end_when_quiet();
 }
 
 void PlatformService::end_when_quiet() {
-  if (carrier_->open() > 0 || !front_->quiet()) {
+  if ((carrier_->open() > 0 || !front_->quiet()) && loop_.now() < end_by_) {
     loop_.call_after(kQuietStepUs, [this] { end_when_quiet(); });
     return;
   }
@@ -116,6 +123,7 @@
                          {"attempts", std::to_string(c.attempts)},
                          {"connections", std::to_string(f.connections)},
                          {"wrong", std::to_string(f.wrong + f.unreadable)},
+                         {"no_room", std::to_string(f.no_room)},
                          {"dials", std::to_string(n.dials)},
                          {"calls", std::to_string(n.calls)},
                          {"broken", std::to_string(n.broken)},
--- a/src/service/platform_service.h
+++ b/src/service/platform_service.h
@@ -31,7 +31,8 @@
 
   // On the loop: takes the change log's address of a new configuration over.
   void reload(const platform::PlatformConfig& config);
-  // On the loop: goes on with what is held and with what clients still send for a while, then ends run().
+  // On the loop: begins to drain. What is held and what clients still send for a while is answered, then
+  // run() ends; at the latest shortly before the platform's SIGKILL. Further calls change nothing.
   void stop();
 
   const carrier::Carrier& carrier() const { return *carrier_; }
@@ -42,6 +43,7 @@
   class Lists;
 
   void told(const std::vector<config::NodeConfig>& nodes);
+  void stop_taking();
   void end_when_quiet();
 
   const platform::PlatformConfig config_;
@@ -56,6 +58,7 @@
   std::unique_ptr<platform::ChangeLog> changes_;
   int port_ = 0;
   bool started_ = false, stopping_ = false;
+  TimeUs end_by_ = 0;  // of the drain
 };
 
 }  // namespace sablelink::service
--- a/tests/platform_harness.h
+++ b/tests/platform_harness.h
@@ -173,6 +173,7 @@
   explicit PlatformBench(size_t client_connections = 20, size_t node_connections = 40) {
     settings_.max_attempts = 6;
     options_.classes = {"lookup", "report"};
+    options_.tenants = {"north", "south"};
     for (const ClassSettings& cls : settings_.classes) options_.patience_us.push_back(cls.deadline_us);
     options_.connections = client_connections;
     platform::NodeClientOptions to_nodes;
@@ -219,20 +220,22 @@
 
   static std::string statement(const std::string& id,
                                const std::string& body = "SELECT 1 FROM sales_17.orders",
-                               const std::string& cls = "lookup", const std::string& timeout = "2000") {
-    return http::write_request("POST", "/v1/" + cls, "service.internal",
-                               {{"X-Request-Id", id}, {"X-Timeout-Ms", timeout}}, body);
+                               const std::string& cls = "lookup", const std::string& timeout = "2000",
+                               const http::Fields& further = {}) {
+    http::Fields fields = {{"X-Request-Id", id}, {"X-Timeout-Ms", timeout}};
+    fields.insert(fields.end(), further.begin(), further.end());
+    return http::write_request("POST", "/v1/" + cls, "service.internal", fields, body);
   }
 
-  // Sends the bytes on a connection of its own and reads one answer; status 0 where the connection ended
-  // before one was whole, -1 where neither came within the time.
+  // Sends the bytes on a connection of its own and reads so many answers, of which the last counts; status 0
+  // where the connection ended before they were whole, -1 where neither came within the time.
   struct Answer {
     int status = -1;
     http::Fields fields;
     std::string body;
     TimeUs took_us = 0;
   };
-  rpc::Awaitable<void> ask(std::string bytes, std::shared_ptr<Answer> out, TimeUs patience = 20'000'000) {
+  rpc::Awaitable<void> ask(std::string bytes, std::shared_ptr<Answer> out, TimeUs patience, int answers) {
     const TimeUs from = world_.now();
     const auto stream = co_await streams_.connect(client_, "gateway", 1'000'000);
     if (!stream) co_return;
@@ -245,18 +248,21 @@
       const std::optional<std::string> piece = co_await stream->read(4096);
       if (!piece || piece->empty()) break;
       state = reader.feed(*piece);
-      if (state == http::ReadState::kDone) {
+      while (state == http::ReadState::kDone) {
         http::Response response = reader.take();
         *out = {response.status, std::move(response.fields), std::move(response.body), world_.now() - from};
-        co_return;
+        if (--answers == 0) co_return;
+        out->status = -1;
+        state = reader.feed({});
       }
     }
     out->took_us = world_.now() - from;
     if (out->took_us < patience) out->status = 0;
   }
-  std::shared_ptr<Answer> start(std::string bytes, TimeUs patience = 20'000'000) {
+  std::shared_ptr<Answer> start(std::string bytes, TimeUs patience = 20'000'000, int answers = 1) {
     const auto out = std::make_shared<Answer>();
-    boost::asio::co_spawn(world_.executor(), ask(std::move(bytes), out, patience), boost::asio::detached);
+    boost::asio::co_spawn(world_.executor(), ask(std::move(bytes), out, patience, answers),
+                          boost::asio::detached);
     return out;
   }
   void run_for(TimeUs time) {
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -10,6 +10,7 @@
 #include "platform/change_log.h"
 #include "platform/config.h"
 #include "platform/descriptors.h"
+#include "platform/drain.h"
 #include "platform/pages.h"
 #include "platform_harness.h"
 #include "rpc/asio_loop.h"
@@ -64,6 +65,27 @@
   EXPECT_EQ(b.carrier().entries(), 0u);
 }
 
+// Nodes drop repeats by the client's key, and refuse a request that comes without it.
+TEST(Platform, AClientsKeysGoAlongWithItsStatement) {
+  PlatformBench b;
+  ScriptedNode& node = b.add_node();
+  b.tell();
+  const auto answer = b.start(PlatformBench::statement(
+      id_number(1), "SELECT 1", "lookup", "2000",
+      {{"Idempotency-Key", "fc9a5e3c"}, {"X-Object", "t-7"}, {"X-Tenant", "south"}}));
+  const auto stranger =
+      b.start(PlatformBench::statement(id_number(2), "SELECT 1", "lookup", "2000", {{"X-Tenant", "nobody"}}));
+  const auto broken = b.start(
+      PlatformBench::statement(id_number(3), "SELECT 1", "lookup", "2000", {{"X-Object", "two words"}}));
+  b.run_for(kSecond);
+  EXPECT_EQ(answer->status, 200);
+  EXPECT_EQ(stranger->status, 400);
+  EXPECT_EQ(broken->status, 400);
+  ASSERT_EQ(node.count("POST"), 1u);
+  EXPECT_EQ(http::find(node.first("POST")->request.fields, "x-nonce"), "fc9a5e3c");
+  EXPECT_EQ(http::find(node.first("POST")->request.fields, "x-ref"), "t-7");
+}
+
 TEST(Platform, ALongQueryIsAskedForUntilItEnds) {
   PlatformBench b;
   ScriptedNode& node = b.add_node();
@@ -382,6 +404,91 @@
   EXPECT_EQ(c.count("POST"), 0u);
 }
 
+// A node with as many connections as it bears refuses more: what it runs goes on.
+TEST(Platform, ARefusedConnectionEndsNothingThatRuns) {
+  PlatformBench b;
+  ScriptedNode& a = b.add_node();
+  ScriptedNode& c = b.add_node();
+  a.work_us = c.work_us = 10 * kSecond;
+  a.script = [&](const ScriptedNode::Seen& s) -> std::optional<NodeReply> {
+    if (s.request.method != "DELETE") return std::nullopt;
+    return NodeReply{http::write_response(204, {}, "", true), 100 * kMs};
+  };
+  b.tell();
+  b.nodes().start({7, 0}, b.id_of(a), order(id_number(7)));
+  b.run_for(100 * kMs);
+  ASSERT_EQ(a.count("POST"), 1u);
+  b.streams().unlisten(a.address());
+  b.nodes().drop({7, 0});  // its DELETE needs a connection of its own, which is refused
+  b.nodes().start({7, 1}, b.id_of(c), order(id_number(7)));
+  b.run_for(2 * kSecond);
+  ASSERT_NE(a.first("DELETE"), nullptr);
+  ASSERT_NE(c.first("POST"), nullptr);
+  EXPECT_GE(c.first("POST")->at, a.first("DELETE")->at + 100 * kMs);
+  b.nodes().drop({7, 1});
+  b.run_for(kSecond);
+}
+
+// The node hasn't read the start yet: that it knows of no such query proves nothing.
+TEST(Platform, AnUnknownQueryWhoseStartIsUnansweredIsNotGivenUp) {
+  PlatformBench b;
+  ScriptedNode& a = b.add_node();
+  ScriptedNode& c = b.add_node();
+  c.work_us = 10 * kSecond;
+  a.script = [&](const ScriptedNode::Seen& s) -> std::optional<NodeReply> {
+    if (s.request.method == "POST") return NodeReply{http::write_response(202, {}, "", true), 300 * kMs};
+    return NodeReply{http::write_response(s.at < a.seen[0].at + 300 * kMs ? 500 : 204, {}, "", true)};
+  };
+  b.tell();
+  b.nodes().start({7, 0}, b.id_of(a), order(id_number(7)));
+  while (a.count("POST") == 0) b.run_for(kMs);
+  b.nodes().drop({7, 0});
+  b.nodes().start({7, 1}, b.id_of(c), order(id_number(7)));
+  b.run_for(3 * kSecond);
+  ASSERT_NE(c.first("POST"), nullptr);
+  EXPECT_GE(c.first("POST")->at, a.first("POST")->at + 300 * kMs);
+  b.nodes().drop({7, 1});
+  b.run_for(kSecond);
+}
+
+// The same client's id again, as after a connection that broke: nodes know both attempts by it.
+TEST(Platform, AnIdThatComesAgainWaitsForItsFormerAttempt) {
+  PlatformBench b;
+  ScriptedNode& a = b.add_node();
+  ScriptedNode& c = b.add_node();
+  a.work_us = c.work_us = 10 * kSecond;
+  a.script = [&](const ScriptedNode::Seen& s) -> std::optional<NodeReply> {
+    if (s.request.method != "DELETE") return std::nullopt;
+    return NodeReply{http::write_response(204, {}, "", true), 100 * kMs};
+  };
+  b.tell();
+  b.nodes().start({7, 0}, b.id_of(a), order(id_number(7)));
+  b.run_for(100 * kMs);
+  b.nodes().drop({7, 0});
+  b.nodes().start({8, 0}, b.id_of(c), order(id_number(7)));
+  b.run_for(kSecond);
+  ASSERT_NE(a.first("DELETE"), nullptr);
+  ASSERT_NE(c.first("POST"), nullptr);
+  EXPECT_GE(c.first("POST")->at, a.first("DELETE")->at + 100 * kMs);
+  b.nodes().drop({8, 0});
+  b.run_for(kSecond);
+}
+
+// What was decided is asked for again where its first byte leaves.
+TEST(Platform, AStartThatMayNoLongerLeaveIsNotSent) {
+  PlatformBench b;
+  ScriptedNode& node = b.add_node();
+  b.tell();
+  carrier::AttemptOrder held = order(id_number(7)), free = order(id_number(8));
+  held.may_leave = [] { return false; };
+  free.may_leave = [] { return true; };
+  b.nodes().start({7, 0}, b.id_of(node), held);
+  b.nodes().start({8, 0}, b.id_of(node), free);
+  b.run_for(kSecond);
+  EXPECT_EQ(node.count("POST"), 1u);
+  EXPECT_EQ(b.nodes().queries(), 0u);
+}
+
 // Nodes let go of a query that nobody asks for within 2 s.
 TEST(Platform, ManyQueriesAreAllAskedForOverFewConnections) {
   PlatformBench b(20, 4);
@@ -537,13 +644,77 @@
   EXPECT_EQ(further->status, 0);
 }
 
+// Where all are at work, one that comes further is told so, and reaches no node.
+TEST(Platform, WhereAllConnectionsAreAtWorkOneIsToldSo) {
+  PlatformBench b(10);
+  ScriptedNode& node = b.add_node();
+  node.work_us = 800'000;
+  b.tell();
+  std::vector<std::shared_ptr<Answer>> open;
+  for (int i = 1; i <= 9; ++i) open.push_back(b.start(PlatformBench::statement(id_number(i))));
+  b.run_for(100 * kMs);
+  const auto further = b.start(PlatformBench::statement(id_number(10)));
+  b.run_for(2 * kSecond);
+  for (const auto& answer : open) EXPECT_EQ(answer->status, 200);
+  EXPECT_EQ(further->status, 503);
+  EXPECT_EQ(further->body, R"({"failure":"Full"})");
+  EXPECT_EQ(b.front().counts().no_room, 1u);
+}
+
+// What comes behind an open call has its time from when it came, not from when its turn comes.
+TEST(Platform, AClientsTimeRunsWhileItsCallWaitsBehindAnother) {
+  PlatformBench b;
+  ScriptedNode& node = b.add_node();
+  node.work_us = 1'500'000;
+  b.tell();
+  const auto second = b.start(PlatformBench::statement(id_number(1), "SELECT 1", "report", "9000") +
+                                  PlatformBench::statement(id_number(2), "SELECT 2", "lookup", "1000"),
+                              10 * kSecond, 2);
+  b.run_for(4 * kSecond);
+  EXPECT_EQ(second->status, 503);
+  for (const auto& seen : node.seen) EXPECT_NE(http::find(seen.request.fields, "x-ticket"), id_number(2));
+  EXPECT_EQ(b.carrier().counts().refused, 1u);
+}
+
+// Many calls at once are read as answers make room, and none is lost.
+TEST(Platform, ManyCallsAtOnceOnOneConnectionAreAllAnswered) {
+  PlatformBench b;
+  ScriptedNode& node = b.add_node();
+  node.work_us = 1'000;
+  b.tell();
+  std::string all;
+  constexpr int kCalls = 60;
+  for (int i = 1; i <= kCalls; ++i)
+    all += PlatformBench::statement(id_number(i), "SELECT '" + std::string(600, 'x') + "'", "report", "9000");
+  ASSERT_GT(all.size(), 32u << 10);
+  const auto last = b.start(all, 10 * kSecond, kCalls);
+  b.run_for(5 * kSecond);
+  EXPECT_EQ(last->status, 200);
+  EXPECT_EQ(b.carrier().counts().served, static_cast<uint64_t>(kCalls));
+}
+
+// Closed while at rest, a connection takes nothing more; what has come before that is answered.
+TEST(Platform, WhatComesAfterTheCloseOfARestingConnectionIsNotTaken) {
+  PlatformBench b;
+  ScriptedNode& node = b.add_node();
+  node.work_us = 100'000;
+  b.tell();
+  const auto open = b.start(PlatformBench::statement(id_number(1)));
+  b.run_for(50 * kMs);
+  b.front().drain();
+  b.front().close_resting();
+  b.run_for(kSecond);
+  EXPECT_EQ(open->status, 200);
+  EXPECT_TRUE(b.front().quiet());
+}
+
 TEST(Platform, HealthSaysWhenItLeaves) {
   PlatformBench b;
   const std::string health = http::write_request("GET", "/healthz", "h", {});
   const auto before = b.start(health);
   b.run_for(100 * kMs);
   EXPECT_EQ(before->status, 200);
-  b.front().leave();
+  b.front().drain();
   const auto after = b.start(health);
   b.run_for(100 * kMs);
   EXPECT_EQ(after->status, 503);
@@ -629,6 +800,20 @@
   }
 }
 
+// The longest deadline tells when the platform kills; the rest follows from its page.
+TEST(PlatformDrain, EndsBeforeTheKillWhateverTheDeadlines) {
+  for (const TimeUs deadline : {300 * kMs, 900 * kMs, 2500 * kMs, 3 * kSecond, 40 * kSecond}) {
+    Settings settings = plain_settings();
+    for (ClassSettings& cls : settings.classes) cls.deadline_us = deadline;
+    const auto times = platform::DrainTimes::of(settings);
+    const TimeUs kill = std::min(deadline, 3 * kSecond) + 700 * kMs;
+    EXPECT_GE(times.stop_taking, 600 * kMs) << deadline;
+    EXPECT_LE(times.stop_taking, times.give_up) << deadline;
+    EXPECT_LT(times.give_up + 200 * kMs, times.end) << deadline;
+    EXPECT_LT(times.end + 100 * kMs, kill) << deadline;
+  }
+}
+
 // ---- Configuration and change log ------------------------------------------------------------------------
 
 const char* const kConfig = R"({"name":"n3","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964",
@@ -711,6 +896,55 @@
   EXPECT_LT(fed, 20u);
 }
 
+// Bytes that never become a line are no sign of life. What the old address tells counts until the new one
+// stands.
+TEST(PlatformChangeLog, ATrickleIsSilenceAndTheOldOneCountsUntilTheNewStands) {
+  sim::Account account;
+  sim::World world(7, account);
+  sim::Streams streams(world, {});
+  const auto server = sim::Actor::make(world, "log"), gateway = sim::Actor::make(world, "gateway");
+  SimDialer net(world, streams, gateway);
+  int asked = 0;
+  bool trickles = true, drained = false;
+  const std::string event = R"({"seq":4,"fleet":{"whole":false,"hosts":[{"host":"s-1","health":"gone"}]}})"
+                            "\n";
+  streams.listen("10.2.0.1:8500", server, [&](std::shared_ptr<rpc::ByteStream> s) -> rpc::Awaitable<void> {
+    ++asked;
+    for (int i = 0; i < 60 && trickles; ++i) {
+      const std::string sign = " ";
+      const bool sent = co_await rpc::write_all(*s, sign);
+      if (!sent) co_return;
+      co_await pause(*server, 500 * kMs);
+    }
+    for (int i = 0; i < 20; ++i) {
+      const std::string line = drained ? event : "3\n";
+      const bool sent = co_await rpc::write_all(*s, line);
+      if (!sent) co_return;
+      co_await pause(*server, 500 * kMs);
+    }
+  });
+  NullLog log;
+  std::vector<config::NodeConfig> nodes;
+  platform::PlatformConfig config = platform::parse_config(kConfig);
+  auto changes = std::make_unique<platform::ChangeLog>(
+      net, *gateway, log, [&](const std::vector<config::NodeConfig>& told) { nodes = told; });
+  changes->start(config);
+  world.settle();
+  world.run_until(world.now() + 5 * kSecond);
+  EXPECT_GE(asked, 2);
+  trickles = false;
+  world.run_until(world.now() + 2500 * kMs);
+  EXPECT_EQ(nodes.size(), 2u);
+  config.changelog = "10.2.0.2:8500";  // nobody is there yet
+  changes->move(config);
+  drained = true;
+  world.run_until(world.now() + 2 * kSecond);
+  EXPECT_EQ(nodes.size(), 1u);
+  streams.unlisten("10.2.0.1:8500");
+  changes.reset();
+  while (world.step()) continue;
+}
+
 // The log breaks off within an event, tells events twice, stops and moves: the list is whole all the same.
 TEST(PlatformChangeLog, IsFollowedThroughBreaksSilenceAndAMove) {
   sim::Account account;
