A call that waits behind another is answered though a drain begins; no polling while at rest

Need, by reading the change before: with the drain begun, the answer to one call closed its connection and dropped the calls behind it, though they had come before (HTTP pipelining). Front::Connection::answer now closes only where nothing that has come is left. A read that never ends no longer holds its own socket (a weak pointer).

--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -126,8 +126,6 @@
   Stage stage() const { return stage_; }
   TimeUs since() const { return since_; }
   void be_surplus() { surplus_ = true; }
-  // Nothing is open, and nothing has come of a next call.
-  bool at_rest() const { return stage_ == Stage::kReading && reader_.fresh() && !stream_->readable(); }
   bool gone() const { return stage_ == Stage::kClosed || stream_->peer_left(); }
   // More is not read before an answer has made room.
   bool full() const {
@@ -170,7 +168,9 @@
 
   void answer(int status, const http::Fields& fields, const std::string& body, bool keep_alive) {
     ++front_.counts_.answers;
-    keep_alive = keep_alive && !front_.draining_ && !surplus_;
+    // What has come already is answered before the connection ends.
+    if (front_.draining_ && reader_.buffered() == 0 && !stream_->readable()) keep_alive = false;
+    keep_alive = keep_alive && !surplus_;
     stage_ = Stage::kWriting;
     since_ = front_.clock_.now();
     boost::asio::co_spawn(
@@ -225,14 +225,7 @@
   void check(TimeUs now) {
     switch (stage_) {
       case Stage::kReading:
-        if (stream_->readable()) return;  // it may be the call, or the end of it
-        if (reader_.fresh() && (calls_ > 0 || front_.closing_resting_)) {
-          const TimeUs most = !front_.closing_resting_ ? kIdleUs : calls_ > 0 ? 0 : kSettleUs;
-          if (now - since_ >= most) half_close();
-        } else if (now - since_ > kCallUs) {
-          ++front_.counts_.too_slow;
-          turn_away(408, "no whole call has come in time");
-        }
+        check_reading(now - since_);
         return;
       case Stage::kWriting:
         if (now - since_ > kWriteUs) close();
@@ -249,6 +242,17 @@
   }
 
  private:
+  // Nothing is closed whose call, or the end of it, waits to be read.
+  void check_reading(TimeUs age) {
+    const bool closing = front_.closing_resting_;
+    if (reader_.fresh() && (calls_ > 0 || closing)) {
+      if (age >= (!closing ? kIdleUs : calls_ > 0 ? 0 : kSettleUs) && !stream_->readable()) half_close();
+    } else if (age > kCallUs && !stream_->readable()) {
+      ++front_.counts_.too_slow;
+      turn_away(408, "no whole call has come in time");
+    }
+  }
+
   // So many bytes have come now.
   void arrived(size_t bytes) {
     const TimeUs now = front_.clock_.now();
--- a/src/rpc/tcp_stream.cpp
+++ b/src/rpc/tcp_stream.cpp
@@ -69,7 +69,7 @@
     });
     reading_ = op;
     co_await op->done.wait();
-    reading_ = nullptr;
+    reading_.reset();
     if (op->error == asio::error::eof) peer_left_ = true;
     if (op->error == asio::error::eof) co_return std::string();
     if (op->error) co_return std::nullopt;
@@ -87,7 +87,10 @@
     co_return op->error ? 0 : op->count;
   }
 
-  bool readable() const override { return (reading_ && reading_->over) || polled(POLLIN); }
+  bool readable() const override {
+    const std::shared_ptr<Operation> op = reading_.lock();
+    return (op && op->over) || polled(POLLIN);
+  }
   bool peer_left() const override { return peer_left_ || polled(POLLRDHUP); }
 
   void end() override {
@@ -151,7 +154,7 @@
   const std::function<void(std::function<void()>)> post_;
   tcp::socket socket_;
   bool ended_ = false;
-  std::shared_ptr<Operation> reading_;  // the read that is awaited
+  std::weak_ptr<Operation> reading_;  // the read that is awaited
   bool peer_left_ = false;
 };
 
--- a/tests/platform_crossing_test.cpp
+++ b/tests/platform_crossing_test.cpp
@@ -212,6 +212,22 @@
   EXPECT_TRUE(answered(client, "503"));
 }
 
+// Two calls at once: the second one came before the drain, and isn't dropped with the answer to the first.
+TEST_F(PlatformCrossing, ACallBehindAnotherIsAnsweredThoughADrainBegins) {
+  RawSocket client = RawSocket::connect(port_);
+  client.send(health() + health());
+  front_->drain();
+  EXPECT_TRUE(until([&] {
+    client.receive();
+    return client.ended || client.broken;
+  }));
+  size_t answers = 0;
+  for (size_t at = client.in.find("HTTP/1.1 503"); at != std::string::npos; ++answers)
+    at = client.in.find("HTTP/1.1 503", at + 1);
+  EXPECT_EQ(answers, 2u);
+  EXPECT_TRUE(client.ended);
+}
+
 // The close comes first: the client hears of an end, not of a break, and what it sends then goes nowhere.
 TEST_F(PlatformCrossing, ARequestBehindTheCloseOfARestingConnectionIsNotTaken) {
   RawSocket client = resting();
--- a/tests/platform_process_test.cpp
+++ b/tests/platform_process_test.cpp
@@ -55,7 +55,7 @@
         << R"({"host":"s-2","dial":"no address","health":"ready"}]}}]},)"
         << R"("settings":{"Zones":["east"],"Flavors":["std"],"Instances":1,"TickUs":1000,)"
         << R"("Limits":{"Cancel":true,"MaxAttempts":3},)"
-        << R"("Services":[{"Name":"lookup","AimUs":9000000,"DeadlineUs":20000000}]}})";
+        << R"("Services":[{"Name":"lookup","AimUs":9000000,"DeadlineUs":)" << deadline_us_ << "}]}}";
   }
 
   // Each statement runs for work_us_; the answer comes on the starting call.
@@ -67,6 +67,7 @@
       if (reader.feed(*bytes) != http::ReadState::kDone) continue;
       const http::Request request = reader.take();
       if (request.method == "POST") ++posts_;
+      if (hangs_) continue;
       if (work_us_ > 0) co_await pause(loop_, work_us_);
       const std::string answer = http::write_response(200, {{"Page-Count", "1"}}, "a\tb\tc\n", true);
       co_await rpc::write_all(*stream, answer);
@@ -101,10 +102,11 @@
     *status = -1;
     boost::asio::co_spawn(loop_.executor(), ask(bytes, status), boost::asio::detached);
   }
-  static std::string statement(int n) {
+  static std::string statement(int n, const char* timeout_ms = "20000") {
     char id[17];
     std::snprintf(id, sizeof(id), "%016x", n);
-    return http::write_request("POST", "/v1/lookup", "h", {{"X-Request-Id", id}, {"X-Timeout-Ms", "20000"}},
+    return http::write_request("POST", "/v1/lookup", "h",
+                               {{"X-Request-Id", id}, {"X-Timeout-Ms", timeout_ms}},
                                "SELECT 1 FROM sales_1.orders");
   }
   // Runs the loop until the condition holds; false after 30 s.
@@ -133,7 +135,8 @@
                       [] { return std::chrono::steady_clock::now(); }};
   std::unique_ptr<rpc::TcpNet> net_ = std::make_unique<rpc::TcpNet>(loop_);
   std::string listen_, node_, logs_[2];
-  TimeUs work_us_ = 0;
+  TimeUs work_us_ = 0, deadline_us_ = 20 * kSecond;
+  bool hangs_ = false;  // the node reads calls and answers none
   int posts_ = 0, beating_ = 0;
   bool ending_ = false;
   std::vector<std::string> asked_;
@@ -178,6 +181,25 @@
   EXPECT_EQ(status, 0);
 }
 
+// Deadlines far past the platform's kill: what hangs gets its final answer before, and the process ends.
+TEST_F(PlatformProcess, WhatHangsAtAPlannedEndIsAnsweredBeforeTheKill) {
+  deadline_us_ = 300 * kSecond;
+  hangs_ = true;
+  write_config(logs_[0]);
+  start();
+  int open = -1;
+  start_ask(statement(1, "300000"), &open);
+  EXPECT_TRUE(until([&] { return posts_ > 0; }));
+  process_->signal(SIGTERM);
+  process_->signal(SIGTERM);
+  process_->signal(SIGHUP);
+  EXPECT_TRUE(until([&] { return open >= 0; }));
+  EXPECT_EQ(open, 503);
+  int status = -1;
+  EXPECT_TRUE(process_->wait_end(30 * kSecond, &status));
+  EXPECT_EQ(status, 0);
+}
+
 TEST_F(PlatformProcess, AConfigurationThatCantBeReadIsAnErrorAndNoCrash) {
   std::ofstream(folder_ / "config.json") << "{\"name\":7}";
   process_ = std::make_unique<badday::Process>(
