Estimates with decimals are read: a customer whose clients send them was served nothing

The reason of each call turned away, put into the log: WRONG /v1/measure 400 a field of milliseconds or megabytes holds no number | ... x-cost-ms=1499.9 | x-est-mb=722 Ruled out: nodes and list (no call reached a node). Lines at fault: read_call read such fields as whole numbers. Now any finite figure from 0 on counts; what isn't one is turned away as before (-40, nan, words).

Test: AClientsKeysGoAlongWithItsStatement sends 149.9.

--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -25,7 +25,7 @@
 constexpr TimeUs kSweepUs = 100'000;
 constexpr TimeUs kLeastPatienceUs = 1'000;
 constexpr TimeUs kPatienceSlackUs = 1'000'000;  // over the class's patience, before a wait is out of range
-constexpr long long kMostFigure = 1'000'000'000;
+constexpr double kMostFigure = 1e9;
 constexpr size_t kMostName = 256;
 constexpr size_t kPiece = 8 << 10;
 constexpr size_t kBacklog = 16 << 10;     // bytes of calls that came before the answer to the one before
@@ -84,13 +84,14 @@
     call.repeat = true;
   }
   // A field that ends in its unit holds a number of it, also where this gateway has no use for the figure.
-  for (const auto& [name, value] : request.fields)
-    if ((name.ends_with("-ms") || name.ends_with("-mb")) && http::whole_number(value, kMostFigure) < 0)
+  for (const auto& [name, value] : request.fields) {
+    if (!name.ends_with("-ms") && !name.ends_with("-mb")) continue;
+    const std::optional<double> figure = read_figure(value);
+    if (!figure || *figure > kMostFigure)
       return wrong(400, "a field of milliseconds or megabytes holds no number");
-  if (const std::string_view cost = http::find(request.fields, "x-cost-ms"); !cost.empty())
-    call.cost_us = 1000.0 * http::whole_number(cost, kMostFigure);
-  if (const std::string_view need = http::find(request.fields, "x-est-mb"); !need.empty())
-    call.need_mb = http::whole_number(need, kMostFigure);
+    if (name == "x-cost-ms") call.cost_us = 1000 * *figure;
+    if (name == "x-est-mb") call.need_mb = *figure;
+  }
   if (const std::string_view tenant = http::find(request.fields, "x-tenant"); !tenant.empty()) {
     const auto it = std::find(options.tenants.begin(), options.tenants.end(), tenant);
     if (it == options.tenants.end()) return wrong(400, "no such tenant");
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -70,9 +70,12 @@
   PlatformBench b;
   ScriptedNode& node = b.add_node();
   b.tell();
-  const auto answer = b.start(PlatformBench::statement(
-      id_number(1), "SELECT 1", "lookup", "2000",
-      {{"Idempotency-Key", "fc9a5e3c"}, {"X-Object", "t-7"}, {"X-Tenant", "south"}}));
+  const auto answer = b.start(PlatformBench::statement(id_number(1), "SELECT 1", "lookup", "2000",
+                                                       {{"Idempotency-Key", "fc9a5e3c"},
+                                                        {"X-Object", "t-7"},
+                                                        {"X-Tenant", "south"},
+                                                        {"X-Cost-Ms", "149.9"},
+                                                        {"X-Est-Mb", "722"}}));
   const auto stranger =
       b.start(PlatformBench::statement(id_number(2), "SELECT 1", "lookup", "2000", {{"X-Tenant", "nobody"}}));
   const auto broken = b.start(
