A crowd of idle clients costs one question to the system for each that comes, not one for each there

Log of n0: stalled, late_ms 1619, open 11; 94 connections not taken, 1,510 descriptors with the backlog. Lines at fault: Front::make_room asked about every connection at each accept (eviction_rank -> readable -> poll), some 260 system calls; now about the one that would go, and at most eight. The node client likewise asks about the one connection that it would use.

--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -31,6 +31,7 @@
 constexpr size_t kBacklog = 16 << 10;     // bytes of calls that came before the answer to the one before
 constexpr TimeUs kSettleUs = 15'000;      // a new connection's first bytes are on their way for a round trip
 constexpr size_t kSurplusShare = 10;      // one connection in so many is for telling that there is no room
+constexpr size_t kMostPassed = 8;         // connections looked at again, for one to give up
 constexpr TimeUs kStalledUs = 1'000'000;  // half a call that stands for so long yields to others
 constexpr TimeUs kPartedUs = 100'000;     // by then a client has read why it is turned away
 constexpr TimeUs kArrivalUs = 1'000;      // arrivals closer than that count as one
@@ -127,6 +128,7 @@
   Stage stage() const { return stage_; }
   TimeUs since() const { return since_; }
   void be_surplus() { surplus_ = true; }
+  bool readable() const { return stream_->readable(); }
   bool gone() const { return stage_ == Stage::kClosed || stream_->peer_left(); }
   // More is not read before an answer has made room.
   bool full() const {
@@ -135,13 +137,12 @@
   rpc::Awaitable<void> room() { return room_.wait(); }
   void let_go() { room_.give(); }
 
-  // How readily it is given up for one that comes new; 0: not at all.
+  // How readily it is given up for one that comes new, by what has been read of it; 0: not at all.
   int eviction_rank(TimeUs now) const {
     const TimeUs age = now - since_;
     if (stage_ == Stage::kLingering) return age > kPartedUs ? 4 : 0;
     if (stage_ != Stage::kReading) return 0;
     if (!reader_.fresh()) return age > kStalledUs ? 1 : 0;
-    if (stream_->readable()) return 0;
     return calls_ > 0 ? 2 : age > kSettleUs ? 3 : 0;
   }
 
@@ -210,9 +211,17 @@
     stream_->end();
   }
 
+  // At once, whatever its client does; only an answer that may be on its way still arrives.
+  void cut_off() {
+    if (calls_ > 0 && front_.clock_.now() - since_ <= kPartedUs)
+      stream_->end();
+    else
+      stream_->reset();
+    close();
+  }
+
   void close() {
     if (stage_ == Stage::kClosed) return;
-    if (stage_ == Stage::kReading) stream_->end();  // its last answer may be on its way
     stage_ = Stage::kClosed;
     room_.give();
     stream_->close();
@@ -232,7 +241,7 @@
         if (now - since_ > kWriteUs) close();
         return;
       case Stage::kLingering:
-        if (now - since_ > kLingerUs) close();
+        if (now - since_ > kLingerUs) cut_off();
         return;
       case Stage::kOpen:
         if (full() && stream_->peer_left()) close();  // whoever reads no further doesn't hear of it
@@ -421,20 +430,28 @@
 bool Front::make_room() {
   if (connections_.size() < options_.connections - options_.connections / kSurplusShare) return true;
   const TimeUs now = clock_.now();
-  std::shared_ptr<Connection> victim;
-  int worst = 0;
-  for (const auto& c : connections_) {
-    const int rank = c->eviction_rank(now);
-    if (rank > worst || (rank > 0 && rank == worst && c->since() < victim->since())) {
+  std::vector<std::shared_ptr<Connection>> passed;  // whose calls wait to be read: the system is asked of few
+  while (passed.size() < kMostPassed) {
+    std::shared_ptr<Connection> victim;
+    int worst = 0;
+    for (const auto& c : connections_) {
+      const int rank = c->eviction_rank(now);
+      if (rank < std::max(worst, 1) || (rank == worst && c->since() >= victim->since())) continue;
+      if (std::find(passed.begin(), passed.end(), c) != passed.end()) continue;
       worst = rank;
       victim = c;
     }
+    if (!victim) return false;
+    if (victim->readable()) {
+      passed.push_back(victim);
+      continue;
+    }
+    ++counts_.evicted;
+    victim->cut_off();
+    connections_.remove(victim);
+    return true;
   }
-  if (!victim) return false;
-  ++counts_.evicted;
-  victim->close();
-  connections_.remove(victim);
-  return true;
+  return false;
 }
 
 rpc::Awaitable<void> Front::serve(std::shared_ptr<rpc::ByteStream> stream) {
--- a/src/platform/node_client.cpp
+++ b/src/platform/node_client.cpp
@@ -259,7 +259,7 @@
     size_t soon = node->dialing;
     TimeUs first_free = 0;
     for (const ConnectionPtr& c : node->connections) {
-      if (c->call || c->stream->readable()) continue;  // an end, or more than was asked for, waits to be read
+      if (c->call) continue;
       if (c->free_at > now) {
         ++soon;
         first_free = first_free == 0 ? c->free_at : std::min(first_free, c->free_at);
@@ -267,6 +267,10 @@
         free = c;  // the one longest at rest
       }
     }
+    if (free && free->stream->readable()) {  // an end, or more than was asked for: its reader will see
+      free->free_at = now + kRestUs;
+      continue;
+    }
     if (free) {
       Call call = next_call(*node);
       // Much may have passed since a start was decided on.
--- a/src/rpc/byte_stream.h
+++ b/src/rpc/byte_stream.h
@@ -36,6 +36,8 @@
   // Whoever waits here hears that it is closed. Without end() before, the other side's connection breaks, and
   // what was written may be lost; after it, what was written still arrives.
   virtual void close() = 0;
+  // The same, and the other side's connection breaks at once, also after end(): nothing is kept for it.
+  virtual void reset() = 0;
 };
 
 // False where the connection broke before all was taken.
--- a/src/rpc/tcp_stream.cpp
+++ b/src/rpc/tcp_stream.cpp
@@ -105,6 +105,13 @@
     on_context([self = shared_from_this()] { self->shut(); });
   }
 
+  void reset() override {
+    on_context([self = shared_from_this()] {
+      self->ended_ = false;
+      self->shut();
+    });
+  }
+
   // ---- On the context's thread
   // -----------------------------------------------------------------------------
   void shut() {
@@ -171,6 +178,7 @@
   bool peer_left() const override { return socket_->peer_left(); }
   void end() override { socket_->end(); }
   void close() override { socket_->close(); }
+  void reset() override { socket_->reset(); }
 
  private:
   const std::shared_ptr<ByteStream> socket_;
--- a/src/sim/streams.cpp
+++ b/src/sim/streams.cpp
@@ -103,6 +103,11 @@
     break_side(connection_, side_);
   }
 
+  void reset() override {
+    connection_->sides[side_].ended = false;
+    close();
+  }
+
  private:
   // All of it, or a part that the seed draws.
   static size_t piece(Connection& c, size_t most) {
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -632,6 +632,39 @@
   for (const auto& s : silent) EXPECT_GE(s->status, 0);
 }
 
+// A crowd of idle clients costs a question to the system for each that comes, not for each that is there.
+TEST(Platform, MakingRoomAsksAboutFewConnections) {
+  struct QuietStream : rpc::ByteStream {
+    explicit QuietStream(int* asked_by) : asked(asked_by) {}
+    rpc::Awaitable<std::optional<std::string>> read(size_t) override {
+      co_await closed.wait();
+      co_return std::nullopt;
+    }
+    rpc::Awaitable<size_t> write(std::string_view bytes) override { co_return bytes.size(); }
+    bool readable() const override { return ++*asked < 0; }
+    bool peer_left() const override { return false; }
+    void end() override {}
+    void close() override { closed.give(); }
+    void reset() override { closed.give(); }
+    Signal closed;
+    int* const asked;
+  };
+  int asked = 0;
+  PlatformBench b(100);
+  constexpr int kComing = 300;
+  std::vector<std::shared_ptr<QuietStream>> streams;
+  for (int i = 0; i < kComing; ++i) {
+    streams.push_back(std::make_shared<QuietStream>(&asked));
+    boost::asio::co_spawn(b.world().executor(), b.front().serve(streams.back()), boost::asio::detached);
+    b.run_for(kMs);
+  }
+  EXPECT_GE(b.front().counts().evicted, 200u);
+  EXPECT_LE(asked, kComing);
+  for (const auto& stream : streams) stream->close();
+  b.run_for(kMs);
+  EXPECT_EQ(b.front().connections(), 0u);
+}
+
 // A connection at work is never given up for one that comes new.
 TEST(Platform, OpenRequestsKeepTheirConnections) {
   PlatformBench b(4);
