--- a/tests/size_test.cpp
+++ b/tests/size_test.cpp
@@ -2,8 +2,12 @@
 // stalls.
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <cmath>
 #include <map>
 #include <memory>
+#include <utility>
+#include <vector>
 
 #include "harness.h"
 
@@ -77,6 +81,77 @@
   EXPECT_GT(all, 0.1 * 3 * 0.35 * 8 * 3'000'000) << "the engine is used, too";
 }
 
+// Thirty gateways, each unaware of the others, under a burst: traffic is uneven, costs stray, attempts come
+// back as full and are tried again, and some gateways start anew beside the engine that did. What they send
+// to that one in any window stays under what the settings allow then, and the chance of so many calls.
+TEST(Size, AFleetOfThirtyPushesNoColdEngineOver) {
+  constexpr int kGateways = 30;
+  constexpr double kWorkUs = 200'000;
+  Settings s = plain_settings();
+  s.instances = kGateways;
+  const TimeUs start = 100 * kSecond, step = 10 * kMs, warmed = start - 30 * kSecond;
+  uint64_t draws = 7;
+  const auto draw = [&] {  // 0 to 1
+    draws = draws * 6364136223846793005ull + 1442695040888963407ull;
+    return static_cast<double>(draws >> 11) / static_cast<double>(1ull << 53);
+  };
+  struct One {
+    std::unique_ptr<Bench> gateway;
+    RequestId last = 0;
+    size_t seen = 0;
+    std::vector<std::pair<TimeUs, RequestId>> out;
+  };
+  std::vector<One> fleet(kGateways);
+  const auto begin = [&](One& one, TimeUs at, bool anew) {
+    one.gateway = std::make_unique<Bench>(s, at, 1000 + static_cast<uint64_t>(1e6 * draw()));
+    one.seen = 0;
+    one.out.clear();
+    one.gateway->list({engine(1), engine(2), engine(3)});
+    if (anew) one.gateway->list({engine(1), engine(2), engine(3), engine(4, 0, 0, start)});
+  };
+  for (One& one : fleet) begin(one, warmed, false);
+  std::vector<TimeUs> sent;  // to the cold one
+  bool told = false;
+  for (TimeUs now = warmed; now < start + 3 * kSecond; now += step) {
+    if (now >= start && !std::exchange(told, true))
+      for (One& one : fleet) one.gateway->list({engine(1), engine(2), engine(3), engine(4, 0, 0, start)});
+    for (int g = 0; g < kGateways; ++g) {
+      One& one = fleet[g];
+      if (now == start + 700 * kMs && g % 6 == 0) begin(one, now, true);
+      Bench& b = *one.gateway;
+      b.run_for(step);
+      // 15 requests a second for most, 60 for some, and thrice that as the engine starts.
+      const double rate = (g % 5 == 0 ? 60 : 15) * (now >= start ? 3 : 1);
+      if (draw() < rate * step / kSecond) b.request(++one.last, 0, 5 * kSecond);
+      std::vector<RequestId> over;
+      std::erase_if(one.out, [&](const auto& item) {
+        if (item.first > b.now()) return false;
+        over.push_back(item.second);
+        return true;
+      });
+      for (const RequestId id : over)
+        b.end(id, draw() < 0.1 ? Outcome::kFull : Outcome::kOk, kWorkUs * (0.2 + 1.6 * draw()));
+      for (; one.seen < b.actions.size(); ++one.seen) {
+        const Action& a = b.actions[one.seen];
+        if (a.kind != Action::kSend) continue;
+        one.out.emplace_back(b.now() + 300 * kMs, a.id);
+        if (a.engine == 4) sent.push_back(b.now());
+      }
+    }
+  }
+  std::sort(sent.begin(), sent.end());
+  size_t most = 0;
+  for (size_t i = 0, j = 0; j < sent.size(); ++j) {
+    while (sent[j] - sent[i] > s.fall_us) ++i;
+    most = std::max(most, j - i + 1);
+  }
+  const double allowed = s.fall_multiple * s.cold_from * 8 * s.fall_us / kWorkUs;
+  EXPECT_GT(most, 10u) << "it gets its part all the same";
+  EXPECT_LE(most, allowed + 2 * std::sqrt(allowed) + 2);
+  RecordProperty("most_in_a_window", static_cast<int>(most));
+  RecordProperty("allowed", static_cast<int>(allowed));
+}
+
 TEST(Size, AfterAStallNothingIsJudgedBeforeWhatCameIsRead) {
   Bench b(plain_settings());
   b.list(engines(4));
