--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -1054,7 +1054,7 @@
   impl_->at(now, a).on_probe_end(engine, outcome, took, r);
 }
 void Gateway::on_stop(TimeUs now, Actions& a) { impl_->at(now, a).end_hopeless(true); }
-bool Gateway::may_leave(TimeUs t, RequestId id, int n, Actions& a) { return impl_->at(t, a).may_leave(id, n); }
+bool Gateway::may_leave(TimeUs t, RequestId q, int n, Actions& a) { return impl_->at(t, a).may_leave(q, n); }
 void Gateway::on_peer_message(TimeUs, int, std::string_view, Actions&) {}  // never asked for: they cost a fee
 
 }  // namespace sablelink
