Platform log: one attempt can be followed by its id through its calls to engines

Change: debug events engine_call_sent, engine_call_completed (status), engine_call_interrupted (reason), attempt_delayed and attempt_released (reason), each with the client's id, the attempt, the engine and the number of the connection. The environment variable SABLELINK_LOG_LEVEL sets the level; the default stays info. Behaviour is unchanged.

--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -6,6 +6,8 @@
 #include <fstream>
 #include <iterator>
 #include <sstream>
+#include <string>
+#include <string_view>
 
 #include "cli/commands.h"
 #include "config/gateway_config.h"
@@ -164,10 +166,26 @@
   return kSuccess;
 }
 
+namespace {
+
+constexpr const char* kDefaultPlatformLogLevel = "info";
+
+// The platform's configuration has no key for the log's level, so it is set by an environment variable.
+std::string platform_log_level() {
+  const char* const level = std::getenv("SABLELINK_LOG_LEVEL");
+  if (level == nullptr || *level == '\0') return kDefaultPlatformLogLevel;
+  for (const char* const known : {"debug", "info", "warn", "error"})
+    if (std::string_view(level) == known) return known;
+  throw CommandError("the environment variable SABLELINK_LOG_LEVEL isn't debug, info, warn or error");
+}
+
+}  // namespace
+
 int run_platform(const service::System& system) {
   const char* const config_file = std::getenv("BALANCER_CONFIG");
   if (config_file == nullptr) throw CommandError("the environment variable BALANCER_CONFIG isn't set");
-  service::PlatformService gateway(platform::parse_config(read_file(config_file)), system);
+  service::PlatformService gateway(platform::parse_config(read_file(config_file)), system,
+                                   platform_log_level());
   const auto reload = [&] {
     try {
       gateway.reload(platform::parse_config(read_file(config_file)));
--- a/src/platform/engine_client/connection_pool.cpp
+++ b/src/platform/engine_client/connection_pool.cpp
@@ -27,6 +27,10 @@
 constexpr TimeUs kReuseDelayUs = 5'000;
 constexpr size_t kReadBytes = 8 << 10;
 
+// Values of the log field "reason".
+constexpr std::string_view kTimedOut = "timeout";
+constexpr std::string_view kConnectionLost = "connection_lost";
+
 http::MessageLimits response_limits() {
   http::MessageLimits limits;
   limits.max_body_bytes = kMaxPageBytes;
@@ -38,10 +42,14 @@
 }  // namespace
 
 struct ConnectionPool::Connection {
-  Connection(std::shared_ptr<rpc::ByteStream> byte_stream, TimeUs now)
-      : stream(std::move(byte_stream)), reader(response_limits()), idle_since(now) {}
+  Connection(std::shared_ptr<rpc::ByteStream> byte_stream, uint64_t connection_number, TimeUs now)
+      : stream(std::move(byte_stream)),
+        number(connection_number),
+        reader(response_limits()),
+        idle_since(now) {}
 
   const std::shared_ptr<rpc::ByteStream> stream;
+  const uint64_t number;
   http::ResponseReader reader;
   std::optional<EngineCall> pending_call;  // sent, without a complete response
   TimeUs call_deadline = 0;
@@ -76,13 +84,14 @@
 
 ConnectionPool::ConnectionPool(ConnectionPoolOptions options, rpc::Dialer& dialer, Clock& clock,
                                const membership::EndpointRegistry& registry, Delegate& delegate,
-                               EngineClientCounters& counters)
+                               EngineClientCounters& counters, const EngineCallLog& log)
     : options_(options),
       dialer_(dialer),
       clock_(clock),
       registry_(registry),
       delegate_(delegate),
-      counters_(counters) {}
+      counters_(counters),
+      log_(log) {}
 
 ConnectionPool::~ConnectionPool() {
   weak_factory_.invalidate();
@@ -215,6 +224,7 @@
                                               request->fields, request->body);
   const TimeUs long_poll_us = is_long_poll(call.type) ? kLongPollTimeoutUs : 0;
   connection->call_deadline = clock_.now() + kCallTimeoutUs + long_poll_us;
+  log_.call_sent({call, engine.address, connection->number});
   connection->pending_call = std::move(call);
   boost::asio::co_spawn(dialer_.executor(), write(connection, std::move(bytes)), boost::asio::detached);
 }
@@ -247,7 +257,7 @@
   }
   engine->dial_backoff_us = 0;
   engine->reset_since_last_success = false;
-  const auto connection = std::make_shared<Connection>(stream, clock_.now());
+  const auto connection = std::make_shared<Connection>(stream, ++last_connection_number_, clock_.now());
   engine->connections.push_back(connection);
   dispatch(engine);
   while (!connection->closed) {
@@ -280,7 +290,7 @@
                               const std::optional<std::string>& bytes) {
   if (!bytes) engine->reset_since_last_success = true;
   if (!bytes || !connection->pending_call) {
-    on_connection_lost(engine, connection);
+    on_connection_lost(engine, connection, kConnectionLost);
     return;
   }
   const bool ended = bytes->empty();
@@ -293,7 +303,7 @@
   }
   if (state == http::ParseStatus::kNeedMore && !ended) return;
   if (!ended) ++counters_.malformed_responses;
-  on_connection_lost(engine, connection);
+  on_connection_lost(engine, connection, kConnectionLost);
 }
 
 void ConnectionPool::on_response_complete(const EngineStatePtr& engine, const ConnectionPtr& connection,
@@ -302,6 +312,7 @@
   const http::Response response = connection->reader.take_message();
   engine->reset_since_last_success = false;
   EngineCall call = std::move(*connection->pending_call);
+  log_.call_completed({call, engine->address, connection->number}, response.status);
   connection->pending_call.reset();
   connection->idle_since = clock_.now();
   connection->available_at = connection->idle_since + kReuseDelayUs;
@@ -310,11 +321,13 @@
   if (self) dispatch(engine);
 }
 
-void ConnectionPool::on_connection_lost(const EngineStatePtr& engine, const ConnectionPtr& connection) {
+void ConnectionPool::on_connection_lost(const EngineStatePtr& engine, const ConnectionPtr& connection,
+                                        std::string_view reason) {
   std::optional<EngineCall> call = std::exchange(connection->pending_call, std::nullopt);
   close(*engine, connection);
   if (call) {
     ++counters_.calls_interrupted;
+    log_.call_interrupted({*call, engine->address, connection->number}, reason);
     delegate_.on_call_failed(std::move(*call), CallFailure::kInterrupted);
   }
   dispatch(engine);
@@ -387,7 +400,7 @@
       continue;
     }
     ++counters_.calls_timed_out;
-    on_connection_lost(engine, connection);
+    on_connection_lost(engine, connection, kTimedOut);
   }
 }
 
--- a/src/platform/engine_client/connection_pool.h
+++ b/src/platform/engine_client/connection_pool.h
@@ -2,10 +2,12 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "base/clock.h"
 #include "base/weak_ptr.h"
@@ -13,6 +15,7 @@
 #include "membership/endpoint_registry.h"
 #include "platform/descriptor_budget.h"
 #include "platform/engine_client/call_queue.h"
+#include "platform/engine_client/engine_call_log.h"
 #include "platform/engine_client/engine_client_counters.h"
 #include "rpc/byte_stream.h"
 #include "workload/types.h"
@@ -54,7 +57,7 @@
 
   ConnectionPool(ConnectionPoolOptions options, rpc::Dialer& dialer, Clock& clock,
                  const membership::EndpointRegistry& registry, Delegate& delegate,
-                 EngineClientCounters& counters);
+                 EngineClientCounters& counters, const EngineCallLog& log);
   /// Closes all connections without calling the delegate.
   ~ConnectionPool();
 
@@ -101,7 +104,8 @@
   void on_bytes(const EngineStatePtr& engine, const ConnectionPtr& connection,
                 const std::optional<std::string>& bytes);
   void on_response_complete(const EngineStatePtr& engine, const ConnectionPtr& connection, bool reusable);
-  void on_connection_lost(const EngineStatePtr& engine, const ConnectionPtr& connection);
+  void on_connection_lost(const EngineStatePtr& engine, const ConnectionPtr& connection,
+                          std::string_view reason);
   void fail_calls(EngineState& engine, CallType type, CallFailure failure);
 
   void close(EngineState& engine, const ConnectionPtr& connection);
@@ -114,9 +118,11 @@
   const membership::EndpointRegistry& registry_;
   Delegate& delegate_;
   EngineClientCounters& counters_;
+  const EngineCallLog& log_;
   std::map<EngineId, EngineStatePtr> engines_;
   size_t connection_count_ = 0;
   size_t listed_engine_count_ = 0;
+  uint64_t last_connection_number_ = 0;
   TimeUs last_expiry_at_ = 0;
   WeakPtrFactory<ConnectionPool> weak_factory_{this};
 };
--- /dev/null
+++ b/src/platform/engine_client/engine_call_log.cpp
@@ -0,0 +1,66 @@
+#include "platform/engine_client/engine_call_log.h"
+
+namespace sablelink::platform {
+namespace {
+
+std::string_view call_name(CallType type) {
+  switch (type) {
+    case CallType::kCancel:
+      return "cancel";
+    case CallType::kStart:
+      return "start";
+    case CallType::kFetchPage:
+      return "fetch_page";
+    case CallType::kPoll:
+      return "poll";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+void EngineCallLog::call_sent(const SentCall& sent) const {
+  write_call("engine_call_sent", sent, "page", std::to_string(sent.call.page));
+}
+
+void EngineCallLog::call_completed(const SentCall& sent, int status) const {
+  write_call("engine_call_completed", sent, "status", std::to_string(status));
+}
+
+void EngineCallLog::call_interrupted(const SentCall& sent, std::string_view reason) const {
+  write_call("engine_call_interrupted", sent, "reason", reason);
+}
+
+void EngineCallLog::attempt_delayed(const EngineAttempt& attempt) const {
+  write_attempt("attempt_delayed", attempt, "earlier_attempt");
+}
+
+void EngineCallLog::attempt_released(const EngineAttempt& attempt, std::string_view reason) const {
+  write_attempt("attempt_released", attempt, reason);
+}
+
+void EngineCallLog::write_call(std::string_view event, const SentCall& sent, std::string_view key,
+                               std::string_view value) const {
+  if (!log_.is_enabled(LogLevel::kDebug)) return;
+  const EngineAttempt& attempt = *sent.call.attempt;
+  log_.write(LogLevel::kDebug, event,
+             {{"tag", attempt.client_tag()},
+              {"request", std::to_string(attempt.id().request)},
+              {"attempt", std::to_string(attempt.id().number)},
+              {"call", std::string(call_name(sent.call.type))},
+              {"engine", sent.address},
+              {"connection", std::to_string(sent.connection_number)},
+              {key, std::string(value)}});
+}
+
+void EngineCallLog::write_attempt(std::string_view event, const EngineAttempt& attempt,
+                                  std::string_view reason) const {
+  if (!log_.is_enabled(LogLevel::kDebug)) return;
+  log_.write(LogLevel::kDebug, event,
+             {{"tag", attempt.client_tag()},
+              {"request", std::to_string(attempt.id().request)},
+              {"attempt", std::to_string(attempt.id().number)},
+              {"reason", std::string(reason)}});
+}
+
+}  // namespace sablelink::platform
--- /dev/null
+++ b/src/platform/engine_client/engine_call_log.h
@@ -0,0 +1,44 @@
+// Log events that follow one attempt through its calls to an engine.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "base/log.h"
+#include "platform/engine_client/call_queue.h"
+
+namespace sablelink::platform {
+
+/// Writes the engine client's log events, all at level debug. Operators search for their names, which
+/// docs/platform.md lists. The log must outlive this object.
+class EngineCallLog {
+ public:
+  /// A call and the connection on which it was sent.
+  struct SentCall {
+    const EngineCall& call;
+    const std::string& address;      // the engine's
+    uint64_t connection_number = 0;  // counted from 1 over all connections of this process
+  };
+
+  explicit EngineCallLog(Log& log) : log_(log) {}
+
+  void call_sent(const SentCall& sent) const;
+  void call_completed(const SentCall& sent, int status) const;
+  /// The call ended without a response. The reason is "timeout" or "connection_lost".
+  void call_interrupted(const SentCall& sent, std::string_view reason) const;
+
+  /// The start of the attempt waits until an earlier attempt of its request has ended.
+  void attempt_delayed(const EngineAttempt& attempt) const;
+  /// The start is no longer delayed. The reason names what ended the earlier attempt.
+  void attempt_released(const EngineAttempt& attempt, std::string_view reason) const;
+
+ private:
+  void write_call(std::string_view event, const SentCall& sent, std::string_view key,
+                  std::string_view value) const;
+  void write_attempt(std::string_view event, const EngineAttempt& attempt, std::string_view reason) const;
+
+  Log& log_;
+};
+
+}  // namespace sablelink::platform
--- a/src/platform/engine_client/engine_client.cpp
+++ b/src/platform/engine_client/engine_client.cpp
@@ -10,6 +10,10 @@
 constexpr TimeUs kCancelRetryDelayUs = 30'000;
 constexpr int kMaxCancelCalls = 4;
 
+// Values of the log field "reason".
+constexpr std::string_view kPreviousAttemptEnded = "previous_attempt_ended";
+constexpr std::string_view kPreviousAttemptExpired = "previous_attempt_expired";
+
 ConnectionPoolOptions pool_options(const EngineClientOptions& options) {
   ConnectionPoolOptions out;
   out.budget = options.budget;
@@ -21,10 +25,11 @@
 }  // namespace
 
 EngineClient::EngineClient(EngineClientOptions options, rpc::Dialer& dialer, Clock& clock,
-                           const membership::EndpointRegistry& registry)
+                           const membership::EndpointRegistry& registry, Log& log)
     : options_(std::move(options)),
       clock_(clock),
-      pool_(pool_options(options_), dialer, clock, registry, *this, counters_) {
+      log_(log),
+      pool_(pool_options(options_), dialer, clock, registry, *this, counters_, log_) {
   expire();
 }
 
@@ -36,6 +41,7 @@
   pool_.add_attempt(*attempt);
   if (!options_.hedging_allowed && orphans_.delay_if_needed(attempt)) {
     ++counters_.attempts_delayed;
+    log_.attempt_delayed(*attempt);
     return;
   }
   schedule_call(CallType::kStart, attempt);
@@ -83,8 +89,14 @@
 }
 
 void EngineClient::on_orphan_ended(const AttemptPtr& attempt) {
-  for (const AttemptPtr& released : orphans_.on_attempt_ended(attempt))
-    schedule_call(CallType::kStart, released);
+  start_released(orphans_.on_attempt_ended(attempt), kPreviousAttemptEnded);
+}
+
+void EngineClient::start_released(const std::vector<AttemptPtr>& attempts, std::string_view reason) {
+  for (const AttemptPtr& attempt : attempts) {
+    log_.attempt_released(*attempt, reason);
+    schedule_call(CallType::kStart, attempt);
+  }
 }
 
 // ---- Calls
@@ -231,7 +243,7 @@
     if (attempt->was_sent() && now > attempt->abandoned_at()) abandoned.push_back(attempt);
   }
   for (const AttemptPtr& attempt : abandoned) complete(attempt, Outcome::kReset);
-  for (const AttemptPtr& released : orphans_.expire(now)) schedule_call(CallType::kStart, released);
+  start_released(orphans_.expire(now), kPreviousAttemptExpired);
   clock_.call_after(ConnectionPool::kExpiryIntervalUs, [self = weak_factory_.get_weak_ptr()] {
     if (self) self->expire();
   });
--- a/src/platform/engine_client/engine_client.h
+++ b/src/platform/engine_client/engine_client.h
@@ -6,10 +6,12 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
 #include "base/clock.h"
+#include "base/log.h"
 #include "base/weak_ptr.h"
 #include "dispatch/engine_transport.h"
 #include "dispatch/request_dispatcher.h"
@@ -18,6 +20,7 @@
 #include "platform/descriptor_budget.h"
 #include "platform/engine_client/connection_pool.h"
 #include "platform/engine_client/engine_attempt.h"
+#include "platform/engine_client/engine_call_log.h"
 #include "platform/engine_client/engine_client_counters.h"
 #include "platform/engine_client/orphaned_attempts.h"
 #include "rpc/byte_stream.h"
@@ -36,12 +39,12 @@
 /// to the dispatcher. Unless hedging is allowed, an attempt is delayed until earlier attempts of its request
 /// have ended on their engines.
 ///
-/// Used only on the dialer's strand. The dispatcher must outlive all attempts; dialer, clock and registry
-/// must outlive the client. Timers and coroutines may outlive the client and then have no effect.
+/// Used only on the dialer's strand. The dispatcher must outlive all attempts; dialer, clock, registry and
+/// log must outlive the client. Timers and coroutines may outlive the client and then have no effect.
 class EngineClient : public dispatch::EngineTransport, private ConnectionPool::Delegate {
  public:
   EngineClient(EngineClientOptions options, rpc::Dialer& dialer, Clock& clock,
-               const membership::EndpointRegistry& registry);
+               const membership::EndpointRegistry& registry, Log& log);
   ~EngineClient() override = default;
   EngineClient(const EngineClient&) = delete;
   EngineClient& operator=(const EngineClient&) = delete;
@@ -81,12 +84,14 @@
   void remove_attempt(const AttemptPtr& attempt);
   void orphan(const AttemptPtr& attempt);
   void on_orphan_ended(const AttemptPtr& attempt);
+  void start_released(const std::vector<AttemptPtr>& attempts, std::string_view reason);
   void expire();
 
   const EngineClientOptions options_;
   Clock& clock_;
   dispatch::RequestDispatcher* dispatcher_ = nullptr;
   EngineClientCounters counters_;
+  const EngineCallLog log_;
   std::map<std::pair<RequestId, int>, AttemptPtr> attempts_;  // by request id and attempt number
   OrphanedAttempts orphans_;
   ConnectionPool pool_;
--- a/src/service/platform_service.cpp
+++ b/src/service/platform_service.cpp
@@ -45,9 +45,10 @@
 
 // ---- Start
 
-PlatformService::PlatformService(platform::PlatformConfig config, const System& system)
+PlatformService::PlatformService(platform::PlatformConfig config, const System& system,
+                                 const std::string& log_level)
     : config_(std::move(config)),
-      log_(make_json_log("gateway", "info")),
+      log_(make_json_log("gateway", log_level)),
       loop_(system.wall, system.steady),
       network_(std::make_unique<rpc::TcpTransport>(loop_)) {
   const platform::DescriptorBudget budget = platform::DescriptorBudget::from_limit(config_.max_descriptors);
@@ -55,7 +56,7 @@
       endpoint_registry_,
       [this](std::function<void()> callback) { loop_.call_after(0, std::move(callback)); });
   engine_client_ = std::make_unique<platform::EngineClient>(engine_client_options(config_, budget), *network_,
-                                                            loop_, endpoint_registry_);
+                                                            loop_, endpoint_registry_, *log_);
   dispatcher_ = std::make_unique<dispatch::RequestDispatcher>(config_.settings, config_.seed,
                                                               dispatcher_limits(config_), loop_,
                                                               *engine_client_, *endpoint_source_, *log_);
--- a/src/service/platform_service.h
+++ b/src/service/platform_service.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <memory>
+#include <string>
 #include <vector>
 
 #include "base/log.h"
@@ -31,8 +32,9 @@
 ///    than exit.
 class PlatformService {
  public:
-  /// Starts listening; run() serves. Throws rpc::AddressError or rpc::ListenError.
-  PlatformService(platform::PlatformConfig config, const System& system);
+  /// Starts listening; run() serves. The level is one of make_json_log(). Throws rpc::AddressError or
+  /// rpc::ListenError.
+  PlatformService(platform::PlatformConfig config, const System& system, const std::string& log_level);
   ~PlatformService();
 
   /// Serves until the graceful shutdown is complete.
--- a/tests/platform/engine_client/connection_pool_test.cpp
+++ b/tests/platform/engine_client/connection_pool_test.cpp
@@ -69,12 +69,13 @@
   platform::EngineClientOptions options;
   options.budget.engines = 4;
   options.class_names = {"lookup"};
-  auto client = std::make_unique<platform::EngineClient>(options, *client_network, client_loop, registry);
+  NullLog log;
+  auto client =
+      std::make_unique<platform::EngineClient>(options, *client_network, client_loop, registry, log);
   struct StaticEndpointSource : dispatch::EndpointSource {
     void watch(bool) override {}
     void fetch() override {}
   } endpoint_source;
-  NullLog log;
   dispatch::RequestDispatcher dispatcher(plain_settings(), 7, {}, client_loop, *client, endpoint_source, log);
   client->set_dispatcher(&dispatcher);
   client->on_endpoints_changed();
--- a/tests/platform/http_server_race_test.cpp
+++ b/tests/platform/http_server_race_test.cpp
@@ -108,7 +108,7 @@
     engine_options.budget.engines = 2;
     engine_options.class_names = {"lookup", "report"};
     engine_client_ =
-        std::make_unique<platform::EngineClient>(engine_options, *network_, loop_, endpoint_registry_);
+        std::make_unique<platform::EngineClient>(engine_options, *network_, loop_, endpoint_registry_, log_);
     dispatcher_ = std::make_unique<dispatch::RequestDispatcher>(
         plain_settings(), 7, dispatch::DispatcherLimits{}, loop_, *engine_client_, endpoint_source_, log_);
     engine_client_->set_dispatcher(dispatcher_.get());
--- a/tests/platform/platform_harness.h
+++ b/tests/platform/platform_harness.h
@@ -201,7 +201,7 @@
     engine_options.budget.engines = max_engine_connections;
     engine_options.class_names = options_.class_names;
     engine_client_ =
-        std::make_unique<platform::EngineClient>(engine_options, dialer_, *actor_, endpoint_registry_);
+        std::make_unique<platform::EngineClient>(engine_options, dialer_, *actor_, endpoint_registry_, log_);
     dispatcher_ = std::make_unique<dispatch::RequestDispatcher>(
         settings_, 7, dispatch::DispatcherLimits{}, *actor_, *engine_client_, endpoint_source_, log_);
     engine_client_->set_dispatcher(dispatcher_.get());
