--- a/src/dispatch/attempt.h
+++ b/src/dispatch/attempt.h
@@ -40,6 +40,7 @@
   int priority = 1;
   double memory_grant_mb = 0;  // 0: the engine decides
   TimeUs remaining_us = 0;     // time until the attempt's deadline, at the call of EngineTransport::start()
+  TimeUs request_remaining_us = 0;  // time until the request's deadline, then
   /// Returns whether the attempt should still be sent. A transport that has delayed the attempt calls this
   /// right before it sends the first byte and, on false, completes the attempt as kSuperseded instead. May be
   /// empty; the attempt is then always sent.
--- a/src/dispatch/request_dispatcher.cpp
+++ b/src/dispatch/request_dispatcher.cpp
@@ -273,6 +273,7 @@
   spec.priority = request.priority;
   spec.memory_grant_mb = request.memory_grant_mb;
   spec.remaining_us = deadline - clock_.now();
+  spec.request_remaining_us = request.deadline - clock_.now();
   spec.still_valid = [dispatcher = weak_factory_.get_weak_ptr(), id] {
     return dispatcher && dispatcher->is_attempt_still_valid(id);
   };
--- a/src/platform/engine_client/call_queue.cpp
+++ b/src/platform/engine_client/call_queue.cpp
@@ -27,6 +27,11 @@
   }
 }
 
+void CallQueue::remove_cancellation(const std::shared_ptr<EngineAttempt>& attempt) {
+  std::erase_if(calls_of_type(CallType::kCancel),
+                [&](const EngineCall& call) { return call.attempt == attempt; });
+}
+
 size_t CallQueue::size() const {
   size_t total = 0;
   for (const std::deque<EngineCall>& calls : calls_by_type_) total += calls.size();
--- a/src/platform/engine_client/call_queue.h
+++ b/src/platform/engine_client/call_queue.h
@@ -18,8 +18,9 @@
 struct EngineCall {
   CallType type = CallType::kPoll;
   std::shared_ptr<EngineAttempt> attempt;
-  int page = 0;             // with kFetchPage: index of the page
-  int cancel_failures = 0;  // with kCancel: how many calls for this cancellation have failed
+  int page = 0;                    // with kFetchPage: index of the page
+  int cancel_failures = 0;         // with kCancel: how many calls for this cancellation have failed
+  bool start_was_settled = false;  // the attempt's is_start_settled() when this call was sent
 };
 
 /// Queue of the calls to one engine, ordered by priority and then by insertion.
@@ -34,6 +35,8 @@
   std::deque<EngineCall> pop_all(CallType type);
   /// Removes all calls of the attempt except its cancellation.
   void remove_attempt(const std::shared_ptr<EngineAttempt>& attempt);
+  /// Removes the attempt's cancellation.
+  void remove_cancellation(const std::shared_ptr<EngineAttempt>& attempt);
 
   bool has(CallType type) const { return !calls_by_type_[static_cast<size_t>(type)].empty(); }
   size_t size() const;
--- a/src/platform/engine_client/connection_pool.cpp
+++ b/src/platform/engine_client/connection_pool.cpp
@@ -27,16 +27,29 @@
 constexpr TimeUs kReuseDelayUs = 5'000;
 constexpr size_t kReadBytes = 8 << 10;
 
-// Values of the log field "reason".
-constexpr std::string_view kTimedOut = "timeout";
-constexpr std::string_view kConnectionLost = "connection_lost";
-
 http::MessageLimits response_limits() {
   http::MessageLimits limits;
   limits.max_body_bytes = kMaxPageBytes;
   return limits;
 }
 
+// Values of the log field "reason".
+std::string_view failure_name(CallFailure failure) {
+  switch (failure) {
+    case CallFailure::kNotSent:
+      return "not_sent";
+    case CallFailure::kConnectionClosed:
+      return "connection_closed";
+    case CallFailure::kMalformed:
+      return "malformed";
+    case CallFailure::kTimedOut:
+      return "timeout";
+    case CallFailure::kEngineDown:
+      return "engine_down";
+  }
+  return "unknown";
+}
+
 bool is_long_poll(CallType type) { return type == CallType::kStart || type == CallType::kPoll; }
 
 }  // namespace
@@ -52,6 +65,9 @@
   const uint64_t number;
   http::ResponseReader reader;
   std::optional<EngineCall> pending_call;  // sent, without a complete response
+  // The pending call is a start that has timed out. The connection stays open, because only a response or
+  // the end of the connection proves that the engine cannot read the start later.
+  bool is_overdue = false;
   TimeUs call_deadline = 0;
   TimeUs available_at = 0;  // no call is sent before this time
   TimeUs idle_since = 0;
@@ -71,6 +87,10 @@
   bool reset_since_last_success = false;  // a connection was reset since the last successful dial or response
   TimeUs next_dispatch_at = 0;            // 0: none is scheduled
 
+  size_t overdue_count() const {
+    return static_cast<size_t>(std::count_if(connections.begin(), connections.end(),
+                                             [](const auto& connection) { return connection->is_overdue; }));
+  }
   bool is_unused() const {
     return !is_listed && attempt_count == 0 && connections.empty() && dials_in_progress == 0 && calls.empty();
   }
@@ -140,6 +160,10 @@
   engine->calls.remove_attempt(attempt);
 }
 
+void ConnectionPool::remove_cancellation(const std::shared_ptr<EngineAttempt>& attempt) {
+  state_of(attempt->engine())->calls.remove_cancellation(attempt);
+}
+
 // ---- Calls
 
 void ConnectionPool::enqueue(EngineCall call) {
@@ -186,8 +210,10 @@
     if (available.next_available_at > 0) schedule_dispatch(engine, available.next_available_at - now);
     if (available.expected_connections >= engine->calls.size()) return;
     const size_t max_connections = options_.budget.per_engine(listed_engine_count_);
-    if (engine->connections.size() + engine->dials_in_progress >= max_connections) return;
-    if (connection_count_ >= options_.budget.engines && !close_longest_idle_connection()) {
+    const size_t usable_count = engine->connections.size() - engine->overdue_count();
+    if (usable_count + engine->dials_in_progress >= max_connections) return;
+    if (connection_count_ >= options_.budget.engines && !close_longest_idle_connection() &&
+        !close_oldest_overdue_connection()) {
       schedule_dispatch(engine, kBudgetRetryDelayUs);
       return;
     }
@@ -274,7 +300,8 @@
   // that the engine is down only if a connection was reset before and none is open.
   const bool is_down = refused && engine->connections.empty() && engine->reset_since_last_success;
   ++(refused ? counters_.dials_refused : counters_.dials_failed);
-  if (refused || engine->connections.empty()) {
+  const bool has_usable_connection = engine->connections.size() > engine->overdue_count();
+  if (refused || !has_usable_connection) {
     fail_calls(*engine, CallType::kStart, CallFailure::kNotSent);
   }
   if (is_down) {
@@ -290,7 +317,7 @@
                               const std::optional<std::string>& bytes) {
   if (!bytes) engine->reset_since_last_success = true;
   if (!bytes || !connection->pending_call) {
-    on_connection_lost(engine, connection, kConnectionLost);
+    on_connection_lost(engine, connection, CallFailure::kConnectionClosed);
     return;
   }
   const bool ended = bytes->empty();
@@ -303,7 +330,7 @@
   }
   if (state == http::ParseStatus::kNeedMore && !ended) return;
   if (!ended) ++counters_.malformed_responses;
-  on_connection_lost(engine, connection, kConnectionLost);
+  on_connection_lost(engine, connection, ended ? CallFailure::kConnectionClosed : CallFailure::kMalformed);
 }
 
 void ConnectionPool::on_response_complete(const EngineStatePtr& engine, const ConnectionPtr& connection,
@@ -316,20 +343,44 @@
   connection->pending_call.reset();
   connection->idle_since = clock_.now();
   connection->available_at = connection->idle_since + kReuseDelayUs;
+  const bool was_overdue = std::exchange(connection->is_overdue, false);
   if (!reusable) close(*engine, connection);
-  delegate_.on_response(std::move(call), response);
+  if (was_overdue) {
+    delegate_.on_late_start_response(std::move(call), response);
+  } else {
+    delegate_.on_response(std::move(call), response);
+  }
   if (self) dispatch(engine);
 }
 
 void ConnectionPool::on_connection_lost(const EngineStatePtr& engine, const ConnectionPtr& connection,
-                                        std::string_view reason) {
+                                        CallFailure reason) {
   std::optional<EngineCall> call = std::exchange(connection->pending_call, std::nullopt);
+  const bool was_overdue = connection->is_overdue;
   close(*engine, connection);
-  if (call) {
+  if (call && was_overdue) {
+    if (reason == CallFailure::kConnectionClosed) delegate_.on_late_start_closed(*call);
+  } else if (call) {
     ++counters_.calls_interrupted;
-    log_.call_interrupted({*call, engine->address, connection->number}, reason);
-    delegate_.on_call_failed(std::move(*call), CallFailure::kInterrupted);
+    log_.call_interrupted({*call, engine->address, connection->number}, failure_name(reason));
+    delegate_.on_call_failed(std::move(*call), reason);
+  }
+  dispatch(engine);
+}
+
+void ConnectionPool::on_call_timed_out(const EngineStatePtr& engine, const ConnectionPtr& connection) {
+  ++counters_.calls_timed_out;
+  if (connection->pending_call->type != CallType::kStart) {
+    on_connection_lost(engine, connection, CallFailure::kTimedOut);
+    return;
   }
+  ++counters_.calls_interrupted;
+  ++counters_.starts_overdue;
+  connection->is_overdue = true;
+  const EngineCall call = *connection->pending_call;
+  log_.call_interrupted({call, engine->address, connection->number}, failure_name(CallFailure::kTimedOut));
+  limit_overdue_connections(*engine);
+  delegate_.on_call_failed(call, CallFailure::kTimedOut);
   dispatch(engine);
 }
 
@@ -354,6 +405,34 @@
   }
 }
 
+// Connections whose start has timed out are additional to the engine's share of the connection budget, but at
+// most as many.
+void ConnectionPool::limit_overdue_connections(EngineState& engine) {
+  const size_t max_overdue = options_.budget.per_engine(listed_engine_count_);
+  while (engine.overdue_count() > max_overdue) {
+    const auto oldest = std::find_if(engine.connections.begin(), engine.connections.end(),
+                                     [](const ConnectionPtr& connection) { return connection->is_overdue; });
+    close(engine, *oldest);
+  }
+}
+
+// Returns false if no start has timed out.
+bool ConnectionPool::close_oldest_overdue_connection() {
+  EngineStatePtr oldest_engine;
+  ConnectionPtr oldest;
+  for (const auto& [id, engine] : engines_) {
+    for (const ConnectionPtr& connection : engine->connections) {
+      if (!connection->is_overdue) continue;
+      if (oldest && connection->call_deadline >= oldest->call_deadline) continue;
+      oldest = connection;
+      oldest_engine = engine;
+    }
+  }
+  if (!oldest) return false;
+  close(*oldest_engine, oldest);
+  return true;
+}
+
 // Returns false if all connections have pending calls.
 bool ConnectionPool::close_longest_idle_connection() {
   EngineStatePtr longest_idle_engine;
@@ -385,23 +464,28 @@
 }
 
 void ConnectionPool::expire_connections(const EngineStatePtr& engine, TimeUs now, bool was_stalled) {
-  const TimeUs max_idle_us = options_.engine_idle_timeout_us * 3 / 5;
   std::vector<ConnectionPtr> expired_connections;
   for (const ConnectionPtr& connection : engine->connections) {
-    // After a stall of this process, unread responses may be waiting: they are read before calls time out.
-    const bool is_expired = connection->pending_call ? !was_stalled && now >= connection->call_deadline
-                                                     : now - connection->idle_since > max_idle_us;
-    if (is_expired) expired_connections.push_back(connection);
+    if (is_expired(*connection, now, was_stalled)) expired_connections.push_back(connection);
   }
   for (const ConnectionPtr& connection : expired_connections) {
     if (connection->closed) continue;
-    if (!connection->pending_call) {
+    if (connection->pending_call && !connection->is_overdue) {
+      on_call_timed_out(engine, connection);
+    } else {
       close(*engine, connection);
-      continue;
     }
-    ++counters_.calls_timed_out;
-    on_connection_lost(engine, connection, kTimedOut);
   }
 }
 
+bool ConnectionPool::is_expired(const Connection& connection, TimeUs now, bool was_stalled) const {
+  if (!connection.pending_call) return now - connection.idle_since > options_.engine_idle_timeout_us * 3 / 5;
+  if (connection.is_overdue) {
+    const EngineAttempt& attempt = *connection.pending_call->attempt;
+    return attempt.is_start_settled(now) || now >= attempt.request_deadline();
+  }
+  // After a stall of this process, unread responses may be waiting: they are read before calls time out.
+  return !was_stalled && now >= connection.call_deadline;
+}
+
 }  // namespace sablelink::platform
--- a/src/platform/engine_client/connection_pool.h
+++ b/src/platform/engine_client/connection_pool.h
@@ -24,9 +24,13 @@
 
 /// Reason why a call ended without a response.
 enum class CallFailure {
-  kNotSent,      // the engine is not ready for new attempts, or no connection could be established
-  kInterrupted,  // the connection was lost: whether the engine executed the call is unknown
-  kEngineDown,   // the engine process has ended, and all its attempts with it
+  kNotSent,           // the engine is not ready for new attempts, or no connection could be established
+  kConnectionClosed,  // by the engine: whether it executed the call is unknown
+  kMalformed,         // the response is not valid HTTP
+  // No response in time. The connection of a start stays open, see on_late_start_response(); that of another
+  // call is closed.
+  kTimedOut,
+  kEngineDown,  // the engine process has ended, and all its attempts with it
 };
 
 struct ConnectionPoolOptions {
@@ -45,11 +49,15 @@
    public:
     virtual ~Delegate() = default;
     /// Called immediately before a call is sent. Returns its request, or nothing if it must not be sent.
-    virtual std::optional<http::Request> prepare_call(const EngineCall& call) = 0;
+    virtual std::optional<http::Request> prepare_call(EngineCall& call) = 0;
     /// Called with a complete response. The engine's queued calls are then sent without schedule_dispatch().
     virtual void on_response(EngineCall call, const http::Response& response) = 0;
     /// Like on_response(), for a call that ended without a response.
     virtual void on_call_failed(EngineCall call, CallFailure failure) = 0;
+    /// Called with the response to a start that has timed out.
+    virtual void on_late_start_response(EngineCall call, const http::Response& response) = 0;
+    /// The engine has closed the connection of a start that has timed out.
+    virtual void on_late_start_closed(const EngineCall& call) = 0;
   };
 
   /// Interval at which expire() must be called.
@@ -68,6 +76,8 @@
   void add_attempt(const EngineAttempt& attempt);
   /// Removes the attempt and its queued calls except its cancellation.
   void remove_attempt(const std::shared_ptr<EngineAttempt>& attempt);
+  /// Removes the queued cancellation of an attempt.
+  void remove_cancellation(const std::shared_ptr<EngineAttempt>& attempt);
 
   /// Queues a call after the other calls of its type, without sending it.
   void enqueue(EngineCall call);
@@ -104,13 +114,16 @@
   void on_bytes(const EngineStatePtr& engine, const ConnectionPtr& connection,
                 const std::optional<std::string>& bytes);
   void on_response_complete(const EngineStatePtr& engine, const ConnectionPtr& connection, bool reusable);
-  void on_connection_lost(const EngineStatePtr& engine, const ConnectionPtr& connection,
-                          std::string_view reason);
+  void on_connection_lost(const EngineStatePtr& engine, const ConnectionPtr& connection, CallFailure reason);
+  void on_call_timed_out(const EngineStatePtr& engine, const ConnectionPtr& connection);
   void fail_calls(EngineState& engine, CallType type, CallFailure failure);
 
   void close(EngineState& engine, const ConnectionPtr& connection);
+  void limit_overdue_connections(EngineState& engine);
   bool close_longest_idle_connection();
+  bool close_oldest_overdue_connection();
   void expire_connections(const EngineStatePtr& engine, TimeUs now, bool was_stalled);
+  bool is_expired(const Connection& connection, TimeUs now, bool was_stalled) const;
 
   const ConnectionPoolOptions options_;
   rpc::Dialer& dialer_;
--- a/src/platform/engine_client/engine_attempt.cpp
+++ b/src/platform/engine_client/engine_attempt.cpp
@@ -1,5 +1,6 @@
 #include "platform/engine_client/engine_attempt.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace sablelink::platform {
@@ -8,6 +9,8 @@
 constexpr int kMaxConsecutiveCallFailures = 6;
 constexpr TimeUs kAbandonMarginUs = 150'000;
 constexpr TimeUs kMinStartToCancelUs = 30'000;
+constexpr TimeUs kMinUnknownPollDelayUs = 30'000;
+constexpr TimeUs kMaxUnknownPollDelayUs = 240'000;
 
 }  // namespace
 
@@ -17,33 +20,47 @@
 void EngineAttempt::on_start_sent(TimeUs now) {
   start_sent_at_ = now;
   last_call_at_ = now;
+  start_delivery_ = StartDelivery::kUnread;
   start_in_flight_ = true;
 }
 
+void EngineAttempt::on_start_connection_closed() {
+  if (start_delivery_ == StartDelivery::kUnread) start_delivery_ = StartDelivery::kConnectionClosed;
+}
+
 bool EngineAttempt::on_call_failed() {
   ++consecutive_call_failures_;
   return consecutive_call_failures_ <= kMaxConsecutiveCallFailures;
 }
 
-AttemptStep EngineAttempt::on_poll_response(PollResponse response) {
+AttemptStep EngineAttempt::on_poll_response(PollResponse response, bool start_was_settled) {
   if (response.load_report) result_.load_report = response.load_report;
+  // The responses to the start and to a poll may both report the completion.
+  const bool is_completion_known = !page_rows_.empty();
+  if (is_completion_known) return {AttemptStep::Type::kAwaitPages};
   switch (response.status) {
     case PollResponse::Status::kMalformed:
       return {AttemptStep::Type::kMalformedResponse};
     case PollResponse::Status::kRunning:
       consecutive_call_failures_ = 0;
-      start_unconfirmed_ = false;
+      on_start_read();
       return {AttemptStep::Type::kPoll};
     case PollResponse::Status::kOverloaded:
+      if (!start_was_settled) return {AttemptStep::Type::kPollLater};
       return {AttemptStep::Type::kComplete, Outcome::kOverloaded};
-    case PollResponse::Status::kFailed:
-      // After an unconfirmed start, this status may only mean that the engine does not know the attempt;
-      // whether the statement was executed is unknown. The engine itself is responsive.
-      result_.engine_responsive = start_unconfirmed_;
-      return {AttemptStep::Type::kComplete, start_unconfirmed_ ? Outcome::kReset : Outcome::kError};
+    case PollResponse::Status::kFailed: {
+      consecutive_call_failures_ = 0;
+      if (!start_was_settled) return {AttemptStep::Type::kPollLater};
+      // If the start's connection was closed, this status may only mean that the engine does not know the
+      // attempt; whether the statement was executed is unknown. The engine itself is responsive.
+      const bool was_read = start_delivery_ == StartDelivery::kRead;
+      result_.engine_responsive = !was_read;
+      return {AttemptStep::Type::kComplete, was_read ? Outcome::kError : Outcome::kReset};
+    }
     case PollResponse::Status::kComplete:
       break;
   }
+  on_start_read();
   consecutive_call_failures_ = 0;
   if (response.work_us) result_.work_us = response.work_us;
   if (response.memory_used_mb) result_.memory_used_mb = response.memory_used_mb;
@@ -88,6 +105,26 @@
   return result;
 }
 
+bool EngineAttempt::is_start_settled(TimeUs now) const {
+  switch (start_delivery_) {
+    case StartDelivery::kNotSent:
+    case StartDelivery::kUnread:
+      return false;
+    case StartDelivery::kRead:
+      return true;
+    case StartDelivery::kConnectionClosed:
+      // A call on another connection must not overtake the start that the engine has read before the close.
+      return now >= earliest_cancel_at();
+  }
+  return false;
+}
+
+TimeUs EngineAttempt::next_unknown_poll_delay_us() {
+  unknown_poll_delay_us_ =
+      std::clamp(2 * unknown_poll_delay_us_, kMinUnknownPollDelayUs, kMaxUnknownPollDelayUs);
+  return unknown_poll_delay_us_;
+}
+
 TimeUs EngineAttempt::abandoned_at() const {
   // The engine's timeout starts at the end of the last call, which may be a long poll.
   return last_call_at_ + kLongPollTimeoutUs + kAbandonTimeoutUs + kAbandonMarginUs;
--- a/src/platform/engine_client/engine_attempt.h
+++ b/src/platform/engine_client/engine_attempt.h
@@ -17,6 +17,7 @@
   enum class Type {
     kMalformedResponse,  // repeat the call
     kPoll,               // the attempt is running: poll again
+    kPollLater,          // the engine does not know the attempt, but may still read its start
     kFetchPages,         // fetch the pages 1 to page_count() - 1
     kAwaitPages,         // wait for the other pages, which are being fetched
     kComplete,           // the attempt is complete, with `outcome`
@@ -25,6 +26,17 @@
   Outcome outcome = Outcome::kOk;
 };
 
+/// What is known about the delivery of an attempt's start.
+enum class StartDelivery {
+  kNotSent,
+  // Nothing proves that the engine has read the start. It may read it at any later time, also from a
+  // connection that this process has closed: the bytes may wait in the engine's kernel.
+  kUnread,
+  kRead,
+  // The engine has closed or reset the connection: it has read the start before or never will.
+  kConnectionClosed,
+};
+
 /// State of one attempt. Pure: the owner sends the calls and reports their results.
 ///
 /// An attempt is not tied to a connection: an interrupted call is repeated on another connection, and the
@@ -35,6 +47,7 @@
 
   const dispatch::AttemptId& id() const { return id_; }
   EngineId engine() const { return engine_; }
+  TimeUs created_at() const { return created_at_; }
   const dispatch::AttemptSpec& spec() const { return spec_; }
   /// The client's id of the request, which identifies the request's attempts to engines.
   const std::string& client_tag() const { return spec_.statement->client_tag; }
@@ -46,14 +59,18 @@
   void on_start_sent(TimeUs now);
   /// A poll or a request for a page was sent.
   void on_fetch_sent(TimeUs now) { last_call_at_ = now; }
+  /// A response of the engine shows that it has read the start.
+  void on_start_read() { start_delivery_ = StartDelivery::kRead; }
   /// The call that starts the attempt has ended, with or without a response.
   void on_start_call_ended() { start_in_flight_ = false; }
-  /// The call that starts the attempt ended without a valid response: the engine may have received it or not.
-  void on_start_unconfirmed() { start_unconfirmed_ = true; }
+  /// The engine has closed or reset the connection on which the start was sent.
+  void on_start_connection_closed();
   /// Counts a call without a valid response. Returns false after too many consecutive ones.
   bool on_call_failed();
 
-  AttemptStep on_poll_response(PollResponse response);
+  /// Handles the response to the start or to a poll. `start_was_settled` is the value of is_start_settled()
+  /// when the poll was sent, and true for the response to the start.
+  AttemptStep on_poll_response(PollResponse response, bool start_was_settled);
   AttemptStep on_page_response(int page, PageResponse response);
   int page_count() const { return static_cast<int>(page_rows_.size()); }
   /// The rows of all pages as JSON. Requires completion with Outcome::kOk.
@@ -69,8 +86,16 @@
   bool was_sent() const { return last_call_at_ > 0; }
   /// Whether the start has been sent and its call has neither a response nor failed.
   bool is_start_in_flight() const { return start_in_flight_; }
-  /// Time by which the engine has abandoned the attempt unless it receives another call.
+  /// Whether the engine cannot read the start after `now`, so that a response "unknown attempt" to a call
+  /// that is sent from now on proves that the attempt has ended.
+  bool is_start_settled(TimeUs now) const;
+  /// Time by which the engine has abandoned the attempt unless it receives another call. Only valid if the
+  /// start is settled.
   TimeUs abandoned_at() const;
+  /// Time after which the request has no further attempts that could overlap with this one.
+  TimeUs request_deadline() const { return created_at_ + spec_.request_remaining_us; }
+  /// Delay before the next poll of an attempt that the engine did not know. Grows with each call.
+  TimeUs next_unknown_poll_delay_us();
   /// Earliest time to send a cancellation, so that it cannot overtake the start on another connection.
   TimeUs earliest_cancel_at() const;
 
@@ -81,8 +106,9 @@
   const TimeUs created_at_;
   TimeUs start_sent_at_ = 0;
   TimeUs last_call_at_ = 0;  // when the last start, poll or page request was sent; 0: none
+  StartDelivery start_delivery_ = StartDelivery::kNotSent;
   bool start_in_flight_ = false;
-  bool start_unconfirmed_ = false;
+  TimeUs unknown_poll_delay_us_ = 0;
   bool finished_ = false;
   int consecutive_call_failures_ = 0;
   dispatch::AttemptResult result_;
--- a/src/platform/engine_client/engine_client.cpp
+++ b/src/platform/engine_client/engine_client.cpp
@@ -94,6 +94,8 @@
 
 void EngineClient::start_released(const std::vector<AttemptPtr>& attempts, std::string_view reason) {
   for (const AttemptPtr& attempt : attempts) {
+    ++counters_.attempts_released;
+    counters_.delay_us += static_cast<uint64_t>(clock_.now() - attempt->created_at());
     log_.attempt_released(*attempt, reason);
     schedule_call(CallType::kStart, attempt);
   }
@@ -106,8 +108,9 @@
   pool_.schedule_dispatch(attempt->engine());
 }
 
-std::optional<http::Request> EngineClient::prepare_call(const EngineCall& call) {
+std::optional<http::Request> EngineClient::prepare_call(EngineCall& call) {
   EngineAttempt& attempt = *call.attempt;
+  call.start_was_settled = attempt.is_start_settled(clock_.now());
   switch (call.type) {
     case CallType::kCancel:
       return make_cancel_request(attempt.client_tag());
@@ -132,31 +135,68 @@
 void EngineClient::on_response(EngineCall call, const http::Response& response) {
   const AttemptPtr attempt = call.attempt;
   if (call.type == CallType::kStart) attempt->on_start_call_ended();
-  if (call.type == CallType::kCancel) {
-    const CancelResponse cancelled = parse_cancel_response(response);
-    // An engine that has not read an attempt's start yet reports the attempt as unknown too.
-    const bool is_ended = cancelled == CancelResponse::kCancelled ||
-                          (cancelled == CancelResponse::kUnknownAttempt && !attempt->is_start_in_flight());
-    if (is_ended) {
-      on_orphan_ended(attempt);
-    } else {
-      retry_cancel(std::move(call));
+  switch (call.type) {
+    case CallType::kCancel:
+      on_cancel_response(std::move(call), response);
+      return;
+    case CallType::kFetchPage: {
+      if (attempt->is_finished()) return;
+      const int page = call.page;
+      apply_step(std::move(call), attempt->on_page_response(page, parse_page_response(response, page)));
+      return;
     }
-    return;
+    case CallType::kStart:
+    case CallType::kPoll:
+      on_poll_response(std::move(call), response);
+      return;
   }
-  if (attempt->is_finished()) return;
-  if (call.type == CallType::kFetchPage) {
-    const int page = call.page;
-    apply_step(std::move(call), attempt->on_page_response(page, parse_page_response(response, page)));
+}
+
+// An engine that has not read an attempt's start yet reports the attempt as unknown too.
+void EngineClient::on_cancel_response(EngineCall call, const http::Response& response) {
+  const CancelResponse cancelled = parse_cancel_response(response);
+  const bool is_unknown = cancelled == CancelResponse::kUnknownAttempt;
+  if (cancelled == CancelResponse::kCancelled || (is_unknown && !call.attempt->is_start_in_flight())) {
+    on_orphan_ended(call.attempt);
     return;
   }
+  retry_cancel(std::move(call));
+}
+
+// Handles the response to a start or to a poll.
+void EngineClient::on_poll_response(EngineCall call, const http::Response& response) {
+  const AttemptPtr attempt = call.attempt;
   const PollResponse poll = parse_poll_response(response);
-  apply_step(std::move(call), attempt->on_poll_response(poll));
+  const bool is_start = call.type == CallType::kStart;
+  if (is_start && poll.status != PollResponse::Status::kMalformed) attempt->on_start_read();
+  if (attempt->is_finished()) return;
+  const bool start_was_settled = is_start || call.start_was_settled;
+  apply_step(std::move(call), attempt->on_poll_response(poll, start_was_settled));
   if (poll.progress) {
     dispatcher_->on_attempt_progress(attempt->id(), poll.progress->kind, poll.progress->value);
   }
 }
 
+// The attempt is polled since its start has timed out, so a response without a result needs no further poll.
+void EngineClient::on_late_start_response(EngineCall call, const http::Response& response) {
+  const PollResponse::Status status = parse_poll_response(response).status;
+  if (status == PollResponse::Status::kMalformed) return;
+  if (status == PollResponse::Status::kRunning) {
+    call.attempt->on_start_read();
+    return;
+  }
+  if (!call.attempt->is_finished()) {
+    on_poll_response(std::move(call), response);
+    return;
+  }
+  call.attempt->on_start_read();
+  on_orphan_ended(call.attempt);
+}
+
+void EngineClient::on_late_start_closed(const EngineCall& call) {
+  call.attempt->on_start_connection_closed();
+}
+
 void EngineClient::apply_step(EngineCall call, const AttemptStep& step) {
   const AttemptPtr attempt = call.attempt;
   switch (step.type) {
@@ -167,6 +207,10 @@
     case AttemptStep::Type::kPoll:
       pool_.enqueue({CallType::kPoll, attempt});
       return;
+    case AttemptStep::Type::kPollLater:
+      ++counters_.starts_unread;
+      poll_later(attempt);
+      return;
     case AttemptStep::Type::kFetchPages:
       for (int page = 1; page < attempt->page_count(); ++page) {
         pool_.enqueue({CallType::kFetchPage, attempt, page});
@@ -183,18 +227,25 @@
   }
 }
 
+void EngineClient::poll_later(const AttemptPtr& attempt) {
+  clock_.call_after(attempt->next_unknown_poll_delay_us(), [self = weak_factory_.get_weak_ptr(), attempt] {
+    if (self && !attempt->is_finished()) self->schedule_call(CallType::kPoll, attempt);
+  });
+}
+
 void EngineClient::on_call_failed(EngineCall call, CallFailure failure) {
   if (call.type == CallType::kStart) call.attempt->on_start_call_ended();
   switch (failure) {
     case CallFailure::kNotSent:
       complete(call.attempt, Outcome::kConnectFailed);
       return;
-    case CallFailure::kInterrupted:
-      if (call.type == CallType::kCancel) {
-        retry_cancel(std::move(call));
-      } else {
-        retry(std::move(call));
-      }
+    case CallFailure::kConnectionClosed:
+      if (call.type == CallType::kStart) call.attempt->on_start_connection_closed();
+      retry(std::move(call));
+      return;
+    case CallFailure::kMalformed:
+    case CallFailure::kTimedOut:
+      retry(std::move(call));
       return;
     case CallFailure::kEngineDown:
       if (call.type == CallType::kCancel) {
@@ -206,14 +257,16 @@
   }
 }
 
+// Repeats a call that ended without a valid response. A second start call could execute the statement twice;
+// a poll returns the state of the first one.
 void EngineClient::retry(EngineCall call) {
+  if (call.type == CallType::kCancel) {
+    retry_cancel(std::move(call));
+    return;
+  }
   const AttemptPtr attempt = call.attempt;
   if (attempt->is_finished()) return;
-  if (call.type == CallType::kStart) {
-    // A second start call could execute the statement twice. A poll returns the state of the first start.
-    attempt->on_start_unconfirmed();
-    call.type = CallType::kPoll;
-  }
+  if (call.type == CallType::kStart) call.type = CallType::kPoll;
   if (!attempt->on_call_failed()) {
     orphan(attempt);  // before complete(), so that the dispatcher's next attempt is delayed
     complete(attempt, Outcome::kReset);
--- a/src/platform/engine_client/engine_client.h
+++ b/src/platform/engine_client/engine_client.h
@@ -72,12 +72,17 @@
  private:
   using AttemptPtr = std::shared_ptr<EngineAttempt>;
 
-  std::optional<http::Request> prepare_call(const EngineCall& call) override;
+  std::optional<http::Request> prepare_call(EngineCall& call) override;
   void on_response(EngineCall call, const http::Response& response) override;
   void on_call_failed(EngineCall call, CallFailure failure) override;
+  void on_late_start_response(EngineCall call, const http::Response& response) override;
+  void on_late_start_closed(const EngineCall& call) override;
 
   void schedule_call(CallType type, const AttemptPtr& attempt);
+  void on_cancel_response(EngineCall call, const http::Response& response);
+  void on_poll_response(EngineCall call, const http::Response& response);
   void apply_step(EngineCall call, const AttemptStep& step);
+  void poll_later(const AttemptPtr& attempt);
   void retry(EngineCall call);
   void retry_cancel(EngineCall call);
   void complete(const AttemptPtr& attempt, Outcome outcome);
--- a/src/service/platform_service.cpp
+++ b/src/service/platform_service.cpp
@@ -157,7 +157,11 @@
               {"engine_calls_interrupted", std::to_string(engines.calls_interrupted)},
               {"engine_responses_malformed", std::to_string(engines.malformed_responses)},
               {"engine_calls_timed_out", std::to_string(engines.calls_timed_out)},
-              {"attempts_delayed", std::to_string(engines.attempts_delayed)}});
+              {"engine_starts_overdue", std::to_string(engines.starts_overdue)},
+              {"engine_starts_unread", std::to_string(engines.starts_unread)},
+              {"attempts_delayed", std::to_string(engines.attempts_delayed)},
+              {"attempts_released", std::to_string(engines.attempts_released)},
+              {"attempts_delay_ms", std::to_string(engines.delay_us / kMillisecondUs)}});
 }
 
 }  // namespace sablelink::service
--- a/tests/platform/engine_client/engine_client_test.cpp
+++ b/tests/platform/engine_client/engine_client_test.cpp
@@ -127,6 +127,61 @@
   EXPECT_EQ(fixture.log().count("decision"), 0u);
 }
 
+// Guards against two attempts of one request at once after an engine has hung for a moment: it answers a poll
+// with "unknown attempt" although it will read the start next.
+TEST(EngineClient, UnknownAttemptDoesNotEndItWhileItsStartMayBeUnread) {
+  PlatformFixture fixture;
+  ScriptedEngine& engine = fixture.add_engine();
+  const auto hang = std::make_shared<HangBeforeStartScript>(engine, 700 * kMs, 600 * kMs);
+  engine.script = [hang](const ScriptedEngine::ReceivedRequest& received) { return (*hang)(received); };
+  fixture.publish_endpoints();
+  fixture.engine_client().start({7, 0}, fixture.engine_id(engine), make_spec(make_request_id(7)));
+  fixture.run_for(690 * kMs);
+  ASSERT_GT(engine.request_count("GET"), 0u);
+  fixture.world().run_until(hang->completes_at() - kMs);
+  EXPECT_EQ(fixture.engine_client().active_attempts(), 1u);
+  EXPECT_GT(fixture.engine_client().counters().starts_unread, 0u);
+  fixture.world().run_until(hang->completes_at() + 300 * kMs);
+  EXPECT_EQ(fixture.engine_client().active_attempts(), 0u);
+  EXPECT_EQ(engine.request_count("POST"), 1u);
+}
+
+// The statement is executed once, by the engine that hung, and the request is served with its result.
+TEST(EngineClient, RequestIsServedByEngineThatHungBeforeItsStart) {
+  PlatformFixture fixture;
+  std::vector<ScriptedEngine*> engines = {&fixture.add_engine(), &fixture.add_engine()};
+  std::vector<std::shared_ptr<HangBeforeStartScript>> hangs;
+  for (ScriptedEngine* engine : engines) {
+    hangs.push_back(std::make_shared<HangBeforeStartScript>(*engine, 700 * kMs, 100 * kMs));
+    engine->script = [hang = hangs.back()](const ScriptedEngine::ReceivedRequest& received) {
+      return (*hang)(received);
+    };
+  }
+  fixture.publish_endpoints();
+  const auto response =
+      fixture.send(PlatformFixture::make_query(make_request_id(1), "SELECT 1", "report", "9000"));
+  fixture.run_for(3 * kSecond);
+  EXPECT_EQ(response->status, 200);
+  EXPECT_EQ(engines[0]->request_count("POST") + engines[1]->request_count("POST"), 1u);
+}
+
+// A late response to the start counts too: it may be the only one, if the statement failed.
+TEST(EngineClient, LateResponseToStartEndsTheAttempt) {
+  PlatformFixture fixture;
+  ScriptedEngine& engine = fixture.add_engine();
+  engine.script = [](const ScriptedEngine::ReceivedRequest& received) {
+    const TimeUs delay = received.request.method == "POST" ? 700 * kMs : 0;
+    return ScriptedResponse{http::serialize_response(500, {}, "", true), delay};
+  };
+  fixture.publish_endpoints();
+  fixture.engine_client().start({7, 0}, fixture.engine_id(engine), make_spec(make_request_id(7)));
+  fixture.run_for(690 * kMs);
+  EXPECT_EQ(fixture.engine_client().active_attempts(), 1u);
+  fixture.run_for(20 * kMs);
+  EXPECT_EQ(fixture.engine_client().active_attempts(), 0u);
+  EXPECT_EQ(fixture.engine_client().counters().starts_overdue, 1u);
+}
+
 TEST(EngineClient, MalformedPagesAreFetchedAgain) {
   const std::vector<std::string> malformed_responses = {
       "HTTP/1.1 200 OK\r\nPage-No: 1\r\nContent-Length: 3221225472\r\n\r\n",
