Engine client: a DELETE answered 'unknown' ends no attempt whose start may be unread

Cause: EngineClient::on_call_failed noted the start's call as ended at its time-out, and from then on a DELETE's 500 counted as the attempt's end. A DELETE was also given up after four calls, some 600 ms of a hang.

Change: a DELETE's 500 counts only if the start was settled when the DELETE was sent. DELETEs are repeated, 30 to 240 ms apart, for as long as the attempt is orphaned; one that still waits for a connection then is removed, which dialled for ever before.

--- a/src/platform/engine_client/engine_attempt.cpp
+++ b/src/platform/engine_client/engine_attempt.cpp
@@ -21,7 +21,6 @@
   start_sent_at_ = now;
   last_call_at_ = now;
   start_delivery_ = StartDelivery::kUnread;
-  start_in_flight_ = true;
 }
 
 void EngineAttempt::on_start_connection_closed() {
--- a/src/platform/engine_client/engine_attempt.h
+++ b/src/platform/engine_client/engine_attempt.h
@@ -61,8 +61,6 @@
   void on_fetch_sent(TimeUs now) { last_call_at_ = now; }
   /// A response of the engine shows that it has read the start.
   void on_start_read() { start_delivery_ = StartDelivery::kRead; }
-  /// The call that starts the attempt has ended, with or without a response.
-  void on_start_call_ended() { start_in_flight_ = false; }
   /// The engine has closed or reset the connection on which the start was sent.
   void on_start_connection_closed();
   /// Counts a call without a valid response. Returns false after too many consecutive ones.
@@ -84,8 +82,6 @@
 
   /// Whether a call has been sent, so that the engine may know the attempt.
   bool was_sent() const { return last_call_at_ > 0; }
-  /// Whether the start has been sent and its call has neither a response nor failed.
-  bool is_start_in_flight() const { return start_in_flight_; }
   /// Whether the engine cannot read the start after `now`, so that a response "unknown attempt" to a call
   /// that is sent from now on proves that the attempt has ended.
   bool is_start_settled(TimeUs now) const;
@@ -107,7 +103,6 @@
   TimeUs start_sent_at_ = 0;
   TimeUs last_call_at_ = 0;  // when the last start, poll or page request was sent; 0: none
   StartDelivery start_delivery_ = StartDelivery::kNotSent;
-  bool start_in_flight_ = false;
   TimeUs unknown_poll_delay_us_ = 0;
   bool finished_ = false;
   int consecutive_call_failures_ = 0;
--- a/src/platform/engine_client/engine_client.cpp
+++ b/src/platform/engine_client/engine_client.cpp
@@ -1,5 +1,6 @@
 #include "platform/engine_client/engine_client.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "platform/engine_client/engine_protocol.h"
@@ -7,8 +8,9 @@
 namespace sablelink::platform {
 namespace {
 
-constexpr TimeUs kCancelRetryDelayUs = 30'000;
-constexpr int kMaxCancelCalls = 4;
+constexpr TimeUs kMinCancelRetryDelayUs = 30'000;
+constexpr TimeUs kMaxCancelRetryDelayUs = 240'000;
+constexpr int kMaxBackoffDoublings = 8;
 
 // Values of the log field "reason".
 constexpr std::string_view kPreviousAttemptEnded = "previous_attempt_ended";
@@ -134,7 +136,6 @@
 
 void EngineClient::on_response(EngineCall call, const http::Response& response) {
   const AttemptPtr attempt = call.attempt;
-  if (call.type == CallType::kStart) attempt->on_start_call_ended();
   switch (call.type) {
     case CallType::kCancel:
       on_cancel_response(std::move(call), response);
@@ -156,10 +157,11 @@
 void EngineClient::on_cancel_response(EngineCall call, const http::Response& response) {
   const CancelResponse cancelled = parse_cancel_response(response);
   const bool is_unknown = cancelled == CancelResponse::kUnknownAttempt;
-  if (cancelled == CancelResponse::kCancelled || (is_unknown && !call.attempt->is_start_in_flight())) {
+  if (cancelled == CancelResponse::kCancelled || (is_unknown && call.start_was_settled)) {
     on_orphan_ended(call.attempt);
     return;
   }
+  if (is_unknown) ++counters_.starts_unread;
   retry_cancel(std::move(call));
 }
 
@@ -234,7 +236,6 @@
 }
 
 void EngineClient::on_call_failed(EngineCall call, CallFailure failure) {
-  if (call.type == CallType::kStart) call.attempt->on_start_call_ended();
   switch (failure) {
     case CallFailure::kNotSent:
       complete(call.attempt, Outcome::kConnectFailed);
@@ -275,11 +276,13 @@
   pool_.enqueue_first(std::move(call));
 }
 
+// The cancellation is repeated for as long as the attempt is orphaned.
 void EngineClient::retry_cancel(EngineCall call) {
+  const TimeUs delay = std::min(
+      kMinCancelRetryDelayUs << std::min(call.cancel_failures, kMaxBackoffDoublings), kMaxCancelRetryDelayUs);
   ++call.cancel_failures;
-  if (call.cancel_failures >= kMaxCancelCalls) return;  // expire() releases the delayed attempts
-  clock_.call_after(kCancelRetryDelayUs, [self = weak_factory_.get_weak_ptr(), call = std::move(call)] {
-    if (!self) return;
+  clock_.call_after(delay, [self = weak_factory_.get_weak_ptr(), call = std::move(call)] {
+    if (!self || !self->orphans_.contains(call.attempt)) return;
     self->pool_.enqueue_first(call);
     self->pool_.schedule_dispatch(call.attempt->engine());
   });
@@ -296,7 +299,9 @@
     if (attempt->was_sent() && now > attempt->abandoned_at()) abandoned.push_back(attempt);
   }
   for (const AttemptPtr& attempt : abandoned) complete(attempt, Outcome::kReset);
-  start_released(orphans_.expire(now), kPreviousAttemptExpired);
+  const OrphanedAttempts::Expired expired = orphans_.expire(now);
+  for (const AttemptPtr& removed : expired.removed) pool_.remove_cancellation(removed);
+  start_released(expired.released, kPreviousAttemptExpired);
   clock_.call_after(ConnectionPool::kExpiryIntervalUs, [self = weak_factory_.get_weak_ptr()] {
     if (self) self->expire();
   });
--- a/src/platform/engine_client/orphaned_attempts.cpp
+++ b/src/platform/engine_client/orphaned_attempts.cpp
@@ -11,6 +11,13 @@
   group.expires_at = std::max(group.expires_at, attempt->abandoned_at());
 }
 
+bool OrphanedAttempts::contains(const AttemptPtr& attempt) const {
+  const auto it = groups_.find(attempt->client_tag());
+  if (it == groups_.end()) return false;
+  const std::vector<AttemptPtr>& orphaned = it->second.orphaned;
+  return std::find(orphaned.begin(), orphaned.end(), attempt) != orphaned.end();
+}
+
 bool OrphanedAttempts::delay_if_needed(const AttemptPtr& attempt) {
   const auto it = groups_.find(attempt->client_tag());
   if (it == groups_.end()) return false;
@@ -33,18 +40,19 @@
   return released;
 }
 
-std::vector<OrphanedAttempts::AttemptPtr> OrphanedAttempts::expire(TimeUs now) {
-  std::vector<AttemptPtr> released;
+OrphanedAttempts::Expired OrphanedAttempts::expire(TimeUs now) {
+  Expired expired;
   for (auto it = groups_.begin(); it != groups_.end();) {
     const Group& group = it->second;
     if (now < group.expires_at) {
       ++it;
       continue;
     }
-    released.insert(released.end(), group.delayed.begin(), group.delayed.end());
+    expired.removed.insert(expired.removed.end(), group.orphaned.begin(), group.orphaned.end());
+    expired.released.insert(expired.released.end(), group.delayed.begin(), group.delayed.end());
     it = groups_.erase(it);
   }
-  return released;
+  return expired;
 }
 
 }  // namespace sablelink::platform
--- a/src/platform/engine_client/orphaned_attempts.h
+++ b/src/platform/engine_client/orphaned_attempts.h
@@ -23,11 +23,16 @@
   bool delay_if_needed(const AttemptPtr& attempt);
   /// Removes an attempt from the delayed ones, if it is delayed.
   void remove_delayed(const AttemptPtr& attempt);
+  bool contains(const AttemptPtr& attempt) const;
 
   /// Removes an orphaned attempt that its engine no longer runs. Returns the delayed attempts that may start.
   std::vector<AttemptPtr> on_attempt_ended(const AttemptPtr& attempt);
-  /// Removes orphaned attempts that were abandoned by `now`. Returns the delayed attempts that may start.
-  std::vector<AttemptPtr> expire(TimeUs now);
+  struct Expired {
+    std::vector<AttemptPtr> removed;   // orphaned attempts that are no longer kept
+    std::vector<AttemptPtr> released;  // delayed attempts that may start
+  };
+  /// Removes orphaned attempts that were abandoned by `now`.
+  Expired expire(TimeUs now);
 
  private:
   struct Group {
--- a/tests/platform/engine_client/orphaned_attempts_test.cpp
+++ b/tests/platform/engine_client/orphaned_attempts_test.cpp
@@ -133,6 +133,50 @@
   fixture.run_for(kSecond);
 }
 
+// Guards against two attempts of one request at once: a DELETE that is answered "unknown attempt" after the
+// start's call has timed out proves nothing, as the engine may read the start next.
+TEST(OrphanedAttempts, UnknownAttemptIsNotConfirmedAsEndedAfterItsStartCallHasTimedOut) {
+  PlatformFixture fixture;
+  ScriptedEngine& first_engine = fixture.add_engine();
+  ScriptedEngine& second_engine = fixture.add_engine();
+  second_engine.execution_time_us = 10 * kSecond;
+  const auto hang = std::make_shared<HangBeforeStartScript>(first_engine, kSecond, 10 * kSecond);
+  first_engine.script = [hang](const ScriptedEngine::ReceivedRequest& received) { return (*hang)(received); };
+  fixture.publish_endpoints();
+  fixture.engine_client().start({7, 0}, fixture.engine_id(first_engine), make_spec(make_request_id(7)));
+  fixture.run_for(950 * kMs);
+  ASSERT_EQ(fixture.engine_client().counters().starts_overdue, 1u);
+  fixture.engine_client().cancel({7, 0});
+  fixture.engine_client().start({7, 1}, fixture.engine_id(second_engine), make_spec(make_request_id(7)));
+  fixture.run_for(kSecond);
+  ASSERT_NE(second_engine.first_request("POST"), nullptr);
+  const ScriptedEngine::ReceivedRequest& last_call = first_engine.received_requests.back();
+  EXPECT_EQ(last_call.request.method, "DELETE");
+  EXPECT_GE(last_call.received_at, hang->resumes_at());
+  EXPECT_GT(second_engine.first_request("POST")->received_at, last_call.received_at);
+  fixture.engine_client().cancel({7, 1});
+  fixture.run_for(kSecond);
+}
+
+// An engine may need longer for its answer than a few calls take.
+TEST(OrphanedAttempts, CancellationIsRepeatedUntilItIsConfirmed) {
+  PlatformFixture fixture;
+  ScriptedEngine& engine = fixture.add_engine();
+  engine.execution_time_us = 10 * kSecond;
+  constexpr int kUnconfirmedCalls = 8;
+  int cancellations = 0;
+  engine.script = [&](const ScriptedEngine::ReceivedRequest& received) -> std::optional<ScriptedResponse> {
+    if (received.request.method != "DELETE" || ++cancellations > kUnconfirmedCalls) return std::nullopt;
+    return ScriptedResponse{http::serialize_response(404, {}, "", true)};
+  };
+  fixture.publish_endpoints();
+  fixture.engine_client().start({7, 0}, fixture.engine_id(engine), make_spec(make_request_id(7)));
+  fixture.run_for(100 * kMs);
+  fixture.engine_client().cancel({7, 0});
+  fixture.run_for(3 * kSecond);
+  EXPECT_EQ(cancellations, kUnconfirmedCalls + 1);
+}
+
 // A client may repeat its request with the same tag, for example after a disconnect. Engines identify the
 // attempts of both requests by this tag.
 TEST(OrphanedAttempts, ReusedClientTagWaitsForPreviousAttempt) {
