Engine client: an attempt given up for want of a connection still delays the next one

Cause: EngineClient::expire completed an attempt whose polls had waited for a connection for 2.4 s as reset, without making it an orphaned one: no DELETE was sent, and the next attempt wasn't delayed.

Change: give_up() orphans and completes; both places that end an attempt that may still run use it.

--- a/src/platform/engine_client/engine_client.cpp
+++ b/src/platform/engine_client/engine_client.cpp
@@ -309,7 +309,7 @@
   for (const auto& [id, attempt] : attempts_) {
     if (attempt->was_sent() && now > attempt->abandoned_at()) abandoned.push_back(attempt);
   }
-  for (const AttemptPtr& attempt : abandoned) complete(attempt, Outcome::kReset);
+  for (const AttemptPtr& attempt : abandoned) give_up(attempt);
   for (const AttemptPtr& expired : orphans_.expire(now)) {
     expired->forget();
     pool_.remove_cancellation(expired);
--- a/tests/platform/engine_client/engine_client_harness.h
+++ b/tests/platform/engine_client/engine_client_harness.h
@@ -10,14 +10,14 @@
 
 namespace sablelink::test {
 
-/// An attempt with the client tag and a timeout of 5 s.
-inline dispatch::AttemptSpec make_spec(const std::string& client_tag) {
+/// An attempt with the client tag, of a request with the timeout.
+inline dispatch::AttemptSpec make_spec(const std::string& client_tag, TimeUs timeout_us = 5 * kSecond) {
   dispatch::Statement statement;
   statement.text = "SELECT 1";
   statement.client_tag = client_tag;
   dispatch::AttemptSpec spec;
   spec.statement = std::make_shared<const dispatch::Statement>(statement);
-  spec.remaining_us = 5 * kSecond;
+  spec.remaining_us = timeout_us;
   spec.request_remaining_us = spec.remaining_us;
   return spec;
 }
--- a/tests/platform/engine_client/orphaned_attempts_test.cpp
+++ b/tests/platform/engine_client/orphaned_attempts_test.cpp
@@ -97,6 +97,42 @@
   }
 }
 
+// Guards against two attempts of one request at once with too few connections to an engine that hangs: an
+// attempt whose polls have waited for a connection for too long is given up, but it may still run.
+TEST(OrphanedAttempts, NextAttemptWaitsForOneWhosePollsHadNoConnection) {
+  constexpr int kAttempts = 20;
+  constexpr TimeUs kMinute = 60 * kSecond;
+  PlatformFixture fixture(20, 4);
+  ScriptedEngine& first_engine = fixture.add_engine();
+  ScriptedEngine& second_engine = fixture.add_engine();
+  second_engine.execution_time_us = 10 * kSecond;
+  bool is_hung = false;
+  first_engine.script = [&](const ScriptedEngine::ReceivedRequest& received) {
+    if (is_hung) return ScriptedResponse{"", 0, false, true};
+    const int status = received.request.method == "DELETE" ? 204 : 202;
+    return ScriptedResponse{http::serialize_response(status, {}, "", true)};
+  };
+  fixture.publish_endpoints();
+  for (int i = 1; i <= kAttempts; ++i)
+    fixture.engine_client().start({static_cast<RequestId>(i), 0}, fixture.engine_id(first_engine),
+                                  make_spec(make_request_id(i), kMinute));
+  fixture.run_for(kSecond);
+  ASSERT_EQ(first_engine.request_count("POST"), static_cast<size_t>(kAttempts));
+  is_hung = true;
+  fixture.run_for(5 * kSecond);
+  ASSERT_EQ(fixture.engine_client().active_attempts(), 0u);
+  for (int i = 1; i <= kAttempts; ++i)
+    fixture.engine_client().start({static_cast<RequestId>(i), 1}, fixture.engine_id(second_engine),
+                                  make_spec(make_request_id(i), kMinute));
+  fixture.run_for(kSecond);
+  EXPECT_EQ(second_engine.request_count("POST"), 0u);
+  is_hung = false;
+  fixture.run_for(3 * kSecond);
+  EXPECT_EQ(second_engine.request_count("POST"), static_cast<size_t>(kAttempts));
+  for (int i = 1; i <= kAttempts; ++i) fixture.engine_client().cancel({static_cast<RequestId>(i), 1});
+  fixture.run_for(kSecond);
+}
+
 // A DELETE that the engine reads late may end the attempt, so the response to it is awaited: later DELETEs
 // are answered "unknown attempt", which proves nothing while the start has no response.
 TEST(OrphanedAttempts, LateResponseToCancellationReleasesTheNextAttempt) {
