Engine client: a refused dial no longer counts at once as the end of what runs there

Cause: ConnectionPool::on_dial_failed took 'reset since the last success, none open, refused' for the process's death; an engine that bears no more connections looks the same.

Change: such a refusal gives the attempts up, as before, but their next attempts wait. An engine that refuses doesn't hang, so it abandons an attempt that gets no call: after 2.4 s of refusals with no call sent between, and the start settled, the attempt has ended.

Test: RefusedConnectionAfterResetDoesNotEndRunningAttempts (engine accepts again and confirms; engine refuses for good) fails on the commit before; 79 of 79 pass.

--- a/src/platform/engine_client/connection_pool.cpp
+++ b/src/platform/engine_client/connection_pool.cpp
@@ -44,8 +44,8 @@
       return "malformed";
     case CallFailure::kTimedOut:
       return "timeout";
-    case CallFailure::kEngineDown:
-      return "engine_down";
+    case CallFailure::kRefused:
+      return "refused";
   }
   return "unknown";
 }
@@ -296,19 +296,19 @@
 
 void ConnectionPool::on_dial_failed(const EngineStatePtr& engine, rpc::ConnectStatus status) {
   const bool refused = status == rpc::ConnectStatus::kRefused;
-  // An engine at its connection limit also refuses dials, while its attempts continue. A refused dial means
-  // that the engine is down only if a connection was reset before and none is open.
-  const bool is_down = refused && engine->connections.empty() && engine->reset_since_last_success;
+  // An engine at its connection limit also refuses dials, while its attempts continue. A refused dial is a
+  // reason to give up the engine's attempts only if a connection was reset before and none is open.
+  const bool may_be_down = refused && engine->connections.empty() && engine->reset_since_last_success;
   ++(refused ? counters_.dials_refused : counters_.dials_failed);
   const bool has_usable_connection = engine->connections.size() > engine->overdue_count();
   if (refused || !has_usable_connection) {
     fail_calls(*engine, CallType::kStart, CallFailure::kNotSent);
   }
-  if (is_down) {
-    fail_calls(*engine, CallType::kFetchPage, CallFailure::kEngineDown);
-    fail_calls(*engine, CallType::kPoll, CallFailure::kEngineDown);
-    fail_calls(*engine, CallType::kCancel, CallFailure::kEngineDown);
+  if (may_be_down) {
+    fail_calls(*engine, CallType::kFetchPage, CallFailure::kRefused);
+    fail_calls(*engine, CallType::kPoll, CallFailure::kRefused);
   }
+  if (refused && engine->connections.empty()) fail_calls(*engine, CallType::kCancel, CallFailure::kRefused);
   engine->dial_backoff_us = std::clamp(2 * engine->dial_backoff_us, kMinDialBackoffUs, kMaxDialBackoffUs);
   if (!engine->calls.empty()) schedule_dispatch(engine, engine->dial_backoff_us);
 }
--- a/src/platform/engine_client/connection_pool.h
+++ b/src/platform/engine_client/connection_pool.h
@@ -30,7 +30,7 @@
   // No response in time. The connection of a start or of a cancellation stays open, see on_late_response();
   // that of another call is closed.
   kTimedOut,
-  kEngineDown,  // the engine process has ended, and all its attempts with it
+  kRefused,  // the engine refuses connections and none is open: it has ended or is at its connection limit
 };
 
 struct ConnectionPoolOptions {
--- a/src/platform/engine_client/engine_attempt.cpp
+++ b/src/platform/engine_client/engine_attempt.cpp
@@ -7,7 +7,10 @@
 namespace {
 
 constexpr int kMaxConsecutiveCallFailures = 6;
+// Time from the sending of an attempt's last call until its engine has abandoned the attempt. The engine's
+// timeout starts at the end of the call, which may be a long poll.
 constexpr TimeUs kAbandonMarginUs = 150'000;
+constexpr TimeUs kMaxTimeToAbandonUs = kLongPollTimeoutUs + kAbandonTimeoutUs + kAbandonMarginUs;
 constexpr TimeUs kMinStartToCancelUs = 30'000;
 constexpr TimeUs kMinBackoffUs = 30'000;
 constexpr TimeUs kMaxBackoffUs = 240'000;
@@ -32,6 +35,16 @@
   if (start_delivery_ == StartDelivery::kUnread) start_delivery_ = StartDelivery::kConnectionClosed;
 }
 
+void EngineAttempt::on_fetch_sent(TimeUs now) {
+  last_call_at_ = now;
+  refused_since_ = 0;
+}
+
+bool EngineAttempt::on_cancel_refused(TimeUs now) {
+  if (refused_since_ == 0) refused_since_ = now;
+  return is_start_settled(now) && now >= refused_since_ + kMaxTimeToAbandonUs;
+}
+
 bool EngineAttempt::on_call_failed() {
   ++consecutive_call_failures_;
   return consecutive_call_failures_ <= kMaxConsecutiveCallFailures;
@@ -135,10 +148,7 @@
   return true;
 }
 
-TimeUs EngineAttempt::abandoned_at() const {
-  // The engine's timeout starts at the end of the last call, which may be a long poll.
-  return last_call_at_ + kLongPollTimeoutUs + kAbandonTimeoutUs + kAbandonMarginUs;
-}
+TimeUs EngineAttempt::abandoned_at() const { return last_call_at_ + kMaxTimeToAbandonUs; }
 
 TimeUs EngineAttempt::earliest_cancel_at() const { return start_sent_at_ + kMinStartToCancelUs; }
 
--- a/src/platform/engine_client/engine_attempt.h
+++ b/src/platform/engine_client/engine_attempt.h
@@ -67,7 +67,12 @@
 
   void on_start_sent(TimeUs now);
   /// A poll or a request for a page was sent.
-  void on_fetch_sent(TimeUs now) { last_call_at_ = now; }
+  void on_fetch_sent(TimeUs now);
+  void on_cancel_sent() { refused_since_ = 0; }
+  /// The engine has refused a connection for the cancellation. Returns whether the attempt must have ended:
+  /// an engine that refuses connections has ended itself or is at its connection limit, so it does not hang
+  /// and abandons an attempt that receives no call.
+  bool on_cancel_refused(TimeUs now);
   /// A response of the engine shows that it has read the start.
   void on_start_read() { start_delivery_ = StartDelivery::kRead; }
   /// The engine has closed or reset the connection on which the start was sent.
@@ -121,6 +126,7 @@
   TimeUs start_sent_at_ = 0;
   TimeUs last_call_at_ = 0;  // when the last start, poll or page request was sent; 0: none
   StartDelivery start_delivery_ = StartDelivery::kNotSent;
+  TimeUs refused_since_ = 0;  // first refused cancellation since the last call; 0: none
   Backoff unknown_poll_backoff_;
   Backoff cancel_backoff_;
   TimeUs next_cancel_at_ = 0;  // 0: none is scheduled
--- a/src/platform/engine_client/engine_client.cpp
+++ b/src/platform/engine_client/engine_client.cpp
@@ -107,6 +107,7 @@
   call.start_was_settled = attempt.is_start_settled(clock_.now());
   switch (call.type) {
     case CallType::kCancel:
+      attempt.on_cancel_sent();
       return make_cancel_request(attempt.client_tag());
     case CallType::kStart: {
       if (!attempt.still_valid()) {
@@ -157,6 +158,14 @@
   schedule_cancel(call.attempt, call.attempt->next_cancel_delay_us());
 }
 
+void EngineClient::on_cancel_refused(const AttemptPtr& attempt) {
+  if (attempt->on_cancel_refused(clock_.now())) {
+    on_orphan_ended(attempt);
+  } else {
+    schedule_cancel(attempt, attempt->next_cancel_delay_us());
+  }
+}
+
 // Handles the response to a start or to a poll.
 void EngineClient::on_poll_response(EngineCall call, const http::Response& response) {
   const AttemptPtr attempt = call.attempt;
@@ -261,11 +270,11 @@
     case CallFailure::kMalformed:
       retry(std::move(call));
       return;
-    case CallFailure::kEngineDown:
+    case CallFailure::kRefused:
       if (call.type == CallType::kCancel) {
-        on_orphan_ended(call.attempt);
-      } else {
-        complete(call.attempt, Outcome::kReset);
+        on_cancel_refused(call.attempt);
+      } else if (!call.attempt->is_finished()) {
+        give_up(call.attempt);
       }
       return;
   }
--- a/src/platform/engine_client/engine_client.h
+++ b/src/platform/engine_client/engine_client.h
@@ -78,6 +78,7 @@
   void on_late_connection_closed(const EngineCall& call) override;
 
   void schedule_call(CallType type, const AttemptPtr& attempt);
+  void on_cancel_refused(const AttemptPtr& attempt);
   void on_cancel_response(const EngineCall& call, const http::Response& response);
   void on_late_start_response(const EngineCall& call, const http::Response& response);
   void on_poll_response(EngineCall call, const http::Response& response);
--- a/tests/platform/engine_client/connection_pool_test.cpp
+++ b/tests/platform/engine_client/connection_pool_test.cpp
@@ -166,6 +166,42 @@
   fixture.run_for(kSecond);
 }
 
+// Guards against two attempts of one request at once at an engine at its connection limit: that the only
+// connection was reset and a new one is refused proves no attempt's end. The next attempt starts once the
+// engine accepts a connection again and confirms the cancellation, or has abandoned the attempt.
+TEST(ConnectionPool, RefusedConnectionAfterResetDoesNotEndRunningAttempts) {
+  for (const bool accepts_again : {true, false}) {
+    PlatformFixture fixture;
+    ScriptedEngine& first_engine = fixture.add_engine();
+    ScriptedEngine& second_engine = fixture.add_engine();
+    first_engine.execution_time_us = 10 * kSecond;
+    second_engine.execution_time_us = 10 * kSecond;
+    fixture.publish_endpoints();
+    fixture.engine_client().start({7, 0}, fixture.engine_id(first_engine), make_spec(make_request_id(7)));
+    fixture.run_for(100 * kMs);
+    ASSERT_EQ(first_engine.received_requests.size(), 1u);
+    fixture.streams().unlisten(first_engine.address());
+    fixture.streams().reset(first_engine.address());
+    const TimeUs reset_at = fixture.world().now();
+    fixture.run_for(300 * kMs);
+    ASSERT_GT(fixture.engine_client().counters().dials_refused, 0u);
+    ASSERT_EQ(fixture.engine_client().active_attempts(), 0u);
+    fixture.engine_client().start({7, 1}, fixture.engine_id(second_engine), make_spec(make_request_id(7)));
+    fixture.run_for(kSecond);
+    EXPECT_EQ(second_engine.request_count("POST"), 0u);
+    if (accepts_again) first_engine.listen(fixture.streams());
+    fixture.run_for(kSecond);
+    EXPECT_EQ(first_engine.request_count("DELETE"), accepts_again ? 1u : 0u);
+    EXPECT_EQ(second_engine.request_count("POST"), accepts_again ? 1u : 0u);
+    fixture.run_for(kSecond);
+    ASSERT_EQ(second_engine.request_count("POST"), 1u);
+    const TimeUs earliest_start = accepts_again ? reset_at : reset_at + 2250 * kMs;
+    EXPECT_GE(second_engine.first_request("POST")->received_at, earliest_start);
+    fixture.engine_client().cancel({7, 1});
+    fixture.run_for(kSecond);
+  }
+}
+
 // Engines abandon an attempt that receives no call for 2 s.
 TEST(ConnectionPool, ManyAttemptsArePolledOverFewConnections) {
   PlatformFixture fixture(20, 4);
--- a/tests/platform/platform_harness.h
+++ b/tests/platform/platform_harness.h
@@ -71,6 +71,11 @@
 
   ScriptedEngine(sim::World& world, sim::Streams& streams, std::string address)
       : world_(world), actor_(sim::Actor::make(world, "node/" + address)), address_(std::move(address)) {
+    listen(streams);
+  }
+
+  /// Accepts connections, again after Streams::unlisten().
+  void listen(sim::Streams& streams) {
     streams.listen(address_, actor_,
                    [this](std::shared_ptr<rpc::ByteStream> s) { return serve(std::move(s)); });
   }
