Connection pool: the connections to one engine are a part of their own; more paths tested

Change: EngineConnections (pure) holds an engine's connections and finds those that are available, idle or overdue; one function closes the earliest of a kind. The cap on overdue connections now closes the one that timed out first; it took the one opened first. Tests: the next attempt at the same engine, a delayed one that is cancelled, a shed poll, a start's connection closed by the engine; spoilt answers in the soak.

--- a/src/platform/engine_client/connection_pool.cpp
+++ b/src/platform/engine_client/connection_pool.cpp
@@ -7,9 +7,7 @@
 #include <utility>
 #include <vector>
 
-#include "http/reader.h"
 #include "platform/engine_client/engine_protocol.h"
-#include "platform/pages.h"
 
 namespace sablelink::platform {
 namespace {
@@ -27,12 +25,6 @@
 constexpr TimeUs kReuseDelayUs = 5'000;
 constexpr size_t kReadBytes = 8 << 10;
 
-http::MessageLimits response_limits() {
-  http::MessageLimits limits;
-  limits.max_body_bytes = kMaxPageBytes;
-  return limits;
-}
-
 // Values of the log field "reason".
 std::string_view failure_name(CallFailure failure) {
   switch (failure) {
@@ -54,26 +46,6 @@
 
 }  // namespace
 
-struct ConnectionPool::Connection {
-  Connection(std::shared_ptr<rpc::ByteStream> byte_stream, uint64_t connection_number, TimeUs now)
-      : stream(std::move(byte_stream)),
-        number(connection_number),
-        reader(response_limits()),
-        idle_since(now) {}
-
-  const std::shared_ptr<rpc::ByteStream> stream;
-  const uint64_t number;
-  http::ResponseReader reader;
-  std::optional<EngineCall> pending_call;  // sent, without a complete response
-  // The pending call is a start or a cancellation that has timed out. The connection stays open, because a
-  // response or the end of the connection may be the only proof that the engine cannot read the call later.
-  bool is_overdue = false;
-  TimeUs call_deadline = 0;
-  TimeUs available_at = 0;  // no call is sent before this time
-  TimeUs idle_since = 0;
-  bool closed = false;
-};
-
 struct ConnectionPool::EngineState {
   EngineId id = 0;
   std::string address;
@@ -81,27 +53,17 @@
   bool is_listed = false;
   size_t attempt_count = 0;
   CallQueue calls;
-  std::list<ConnectionPtr> connections;
+  EngineConnections connections;
   size_t dials_in_progress = 0;
   TimeUs dial_backoff_us = 0;             // delay after the last dial if it failed, otherwise 0
   bool reset_since_last_success = false;  // a connection was reset since the last successful dial or response
   TimeUs next_dispatch_at = 0;            // 0: none is scheduled
 
-  size_t overdue_count() const {
-    return static_cast<size_t>(std::count_if(connections.begin(), connections.end(),
-                                             [](const auto& connection) { return connection->is_overdue; }));
-  }
   bool is_unused() const {
     return !is_listed && attempt_count == 0 && connections.empty() && dials_in_progress == 0 && calls.empty();
   }
 };
 
-struct ConnectionPool::Availability {
-  ConnectionPtr connection;         // longest idle one; null: none is available now
-  size_t expected_connections = 0;  // dials in progress and connections in their reuse delay
-  TimeUs next_available_at = 0;     // earliest end of a reuse delay; 0: none
-};
-
 ConnectionPool::ConnectionPool(ConnectionPoolOptions options, rpc::Dialer& dialer, Clock& clock,
                                const membership::EndpointRegistry& registry, Delegate& delegate,
                                EngineClientCounters& counters, const EngineCallLog& log)
@@ -116,7 +78,7 @@
 ConnectionPool::~ConnectionPool() {
   weak_factory_.invalidate();
   for (const auto& [id, engine] : engines_) {
-    for (const ConnectionPtr& connection : engine->connections) {
+    for (const ConnectionPtr& connection : engine->connections.all()) {
       connection->closed = true;
       connection->stream->close();
     }
@@ -196,7 +158,7 @@
   }
   const TimeUs now = clock_.now();
   while (!engine->calls.empty()) {
-    const Availability available = check_availability(*engine, now);
+    const EngineConnections::Availability available = engine->connections.check_availability(now);
     if (available.connection && available.connection->stream->readable()) {
       // Readable without a pending call: the engine has closed the connection or sent unexpected bytes.
       // run_connection() reads them and closes the connection.
@@ -208,12 +170,11 @@
       continue;
     }
     if (available.next_available_at > 0) schedule_dispatch(engine, available.next_available_at - now);
-    if (available.expected_connections >= engine->calls.size()) return;
+    const size_t expected_connections = engine->dials_in_progress + available.soon_available;
+    if (expected_connections >= engine->calls.size()) return;
     const size_t max_connections = options_.budget.per_engine(listed_engine_count_);
-    const size_t usable_count = engine->connections.size() - engine->overdue_count();
-    if (usable_count + engine->dials_in_progress >= max_connections) return;
-    if (connection_count_ >= options_.budget.engines && !close_longest_idle_connection() &&
-        !close_oldest_overdue_connection()) {
+    if (engine->connections.usable_count() + engine->dials_in_progress >= max_connections) return;
+    if (connection_count_ >= options_.budget.engines && !close_dispensable_connection()) {
       schedule_dispatch(engine, kBudgetRetryDelayUs);
       return;
     }
@@ -221,26 +182,6 @@
   }
 }
 
-ConnectionPool::Availability ConnectionPool::check_availability(const EngineState& engine, TimeUs now) {
-  Availability available;
-  available.expected_connections = engine.dials_in_progress;
-  for (const ConnectionPtr& connection : engine.connections) {
-    if (connection->pending_call) continue;
-    if (connection->available_at > now) {
-      ++available.expected_connections;
-      const TimeUs at = connection->available_at;
-      if (available.next_available_at == 0 || at < available.next_available_at) {
-        available.next_available_at = at;
-      }
-      continue;
-    }
-    if (!available.connection || connection->idle_since < available.connection->idle_since) {
-      available.connection = connection;
-    }
-  }
-  return available;
-}
-
 void ConnectionPool::send_next_call(EngineState& engine, const ConnectionPtr& connection) {
   EngineCall call = engine.calls.pop();
   const std::optional<http::Request> request = delegate_.prepare_call(call);
@@ -283,8 +224,8 @@
   }
   engine->dial_backoff_us = 0;
   engine->reset_since_last_success = false;
-  const auto connection = std::make_shared<Connection>(stream, ++last_connection_number_, clock_.now());
-  engine->connections.push_back(connection);
+  const auto connection = std::make_shared<EngineConnection>(stream, ++last_connection_number_, clock_.now());
+  engine->connections.add(connection);
   dispatch(engine);
   while (!connection->closed) {
     const std::optional<std::string> bytes = co_await stream->read(kReadBytes);
@@ -300,8 +241,7 @@
   // reason to give up the engine's attempts only if a connection was reset before and none is open.
   const bool may_be_down = refused && engine->connections.empty() && engine->reset_since_last_success;
   ++(refused ? counters_.dials_refused : counters_.dials_failed);
-  const bool has_usable_connection = engine->connections.size() > engine->overdue_count();
-  if (refused || !has_usable_connection) {
+  if (refused || engine->connections.usable_count() == 0) {
     fail_calls(*engine, CallType::kStart, CallFailure::kNotSent);
   }
   if (may_be_down) {
@@ -401,7 +341,7 @@
   const auto it = engines_.find(engine);
   if (it == engines_.end()) return;
   const EngineStatePtr state = it->second;
-  for (const ConnectionPtr& connection : std::list<ConnectionPtr>(state->connections)) {
+  for (const ConnectionPtr& connection : std::list<ConnectionPtr>(state->connections.all())) {
     if (!connection->pending_call) close(*state, connection);
   }
 }
@@ -410,44 +350,30 @@
 // most as many.
 void ConnectionPool::limit_overdue_connections(EngineState& engine) {
   const size_t max_overdue = options_.budget.per_engine(listed_engine_count_);
-  while (engine.overdue_count() > max_overdue) {
-    const auto oldest = std::find_if(engine.connections.begin(), engine.connections.end(),
-                                     [](const ConnectionPtr& connection) { return connection->is_overdue; });
-    close(engine, *oldest);
-  }
+  while (engine.connections.overdue_count() > max_overdue)
+    close(engine, engine.connections.longest_overdue());
 }
 
-// Returns false if no connection stays open after a timeout.
-bool ConnectionPool::close_oldest_overdue_connection() {
-  EngineStatePtr oldest_engine;
-  ConnectionPtr oldest;
-  for (const auto& [id, engine] : engines_) {
-    for (const ConnectionPtr& connection : engine->connections) {
-      if (!connection->is_overdue) continue;
-      if (oldest && connection->call_deadline >= oldest->call_deadline) continue;
-      oldest = connection;
-      oldest_engine = engine;
-    }
-  }
-  if (!oldest) return false;
-  close(*oldest_engine, oldest);
-  return true;
+// Closes the connection that is idle for the longest time or, if none is idle, the one whose call timed out
+// first. Returns false if there is neither.
+bool ConnectionPool::close_dispensable_connection() {
+  return close_earliest(&EngineConnections::longest_idle, &EngineConnection::idle_since) ||
+         close_earliest(&EngineConnections::longest_overdue, &EngineConnection::call_deadline);
 }
 
-// Returns false if all connections have pending calls.
-bool ConnectionPool::close_longest_idle_connection() {
-  EngineStatePtr longest_idle_engine;
-  ConnectionPtr longest_idle;
+// Closes the connection with the earliest time of those that `select` returns for each engine.
+bool ConnectionPool::close_earliest(ConnectionPtr (EngineConnections::*select)() const,
+                                    TimeUs EngineConnection::*time) {
+  EngineStatePtr earliest_engine;
+  ConnectionPtr earliest;
   for (const auto& [id, engine] : engines_) {
-    for (const ConnectionPtr& connection : engine->connections) {
-      if (connection->pending_call) continue;
-      if (longest_idle && connection->idle_since >= longest_idle->idle_since) continue;
-      longest_idle = connection;
-      longest_idle_engine = engine;
-    }
+    const ConnectionPtr connection = (engine->connections.*select)();
+    if (!connection || (earliest && (*connection).*time >= (*earliest).*time)) continue;
+    earliest = connection;
+    earliest_engine = engine;
   }
-  if (!longest_idle) return false;
-  close(*longest_idle_engine, longest_idle);
+  if (!earliest) return false;
+  close(*earliest_engine, earliest);
   return true;
 }
 
@@ -466,7 +392,7 @@
 
 void ConnectionPool::expire_connections(const EngineStatePtr& engine, TimeUs now, bool was_stalled) {
   std::vector<ConnectionPtr> expired_connections;
-  for (const ConnectionPtr& connection : engine->connections) {
+  for (const ConnectionPtr& connection : engine->connections.all()) {
     if (is_expired(*connection, now, was_stalled)) expired_connections.push_back(connection);
   }
   for (const ConnectionPtr& connection : expired_connections) {
@@ -479,7 +405,7 @@
   }
 }
 
-bool ConnectionPool::is_expired(const Connection& connection, TimeUs now, bool was_stalled) const {
+bool ConnectionPool::is_expired(const EngineConnection& connection, TimeUs now, bool was_stalled) const {
   if (!connection.pending_call) return now - connection.idle_since > options_.engine_idle_timeout_us * 3 / 5;
   if (connection.is_overdue) {
     const EngineCall& call = *connection.pending_call;
--- a/src/platform/engine_client/connection_pool.h
+++ b/src/platform/engine_client/connection_pool.h
@@ -17,6 +17,7 @@
 #include "platform/engine_client/call_queue.h"
 #include "platform/engine_client/engine_call_log.h"
 #include "platform/engine_client/engine_client_counters.h"
+#include "platform/engine_client/engine_connections.h"
 #include "rpc/byte_stream.h"
 #include "workload/types.h"
 
@@ -95,16 +96,13 @@
   size_t connection_count() const { return connection_count_; }
 
  private:
-  struct Connection;
   struct EngineState;
-  struct Availability;
-  using ConnectionPtr = std::shared_ptr<Connection>;
+  using ConnectionPtr = EngineConnectionPtr;
   using EngineStatePtr = std::shared_ptr<EngineState>;
 
   EngineStatePtr state_of(EngineId id);
   void schedule_dispatch(const EngineStatePtr& engine, TimeUs delay);
   void dispatch(const EngineStatePtr& engine);
-  static Availability check_availability(const EngineState& engine, TimeUs now);
   void send_next_call(EngineState& engine, const ConnectionPtr& connection);
   rpc::Awaitable<void> write(ConnectionPtr connection, std::string bytes);
 
@@ -120,10 +118,10 @@
 
   void close(EngineState& engine, const ConnectionPtr& connection);
   void limit_overdue_connections(EngineState& engine);
-  bool close_longest_idle_connection();
-  bool close_oldest_overdue_connection();
+  bool close_dispensable_connection();
+  bool close_earliest(ConnectionPtr (EngineConnections::*select)() const, TimeUs EngineConnection::*time);
   void expire_connections(const EngineStatePtr& engine, TimeUs now, bool was_stalled);
-  bool is_expired(const Connection& connection, TimeUs now, bool was_stalled) const;
+  bool is_expired(const EngineConnection& connection, TimeUs now, bool was_stalled) const;
 
   const ConnectionPoolOptions options_;
   rpc::Dialer& dialer_;
--- a/tests/platform/engine_client/engine_client_test.cpp
+++ b/tests/platform/engine_client/engine_client_test.cpp
@@ -182,6 +182,39 @@
   EXPECT_EQ(fixture.engine_client().counters().starts_overdue, 1u);
 }
 
+// A refusal to run that a poll reports proves as little as "unknown attempt" while the start may be unread.
+TEST(EngineClient, ShedPollDoesNotEndAttemptWhileItsStartMayBeUnread) {
+  PlatformFixture fixture;
+  ScriptedEngine& engine = fixture.add_engine();
+  engine.script = [](const ScriptedEngine::ReceivedRequest& received) {
+    if (received.request.method == "POST") return ScriptedResponse{"", 0, false, true};
+    return ScriptedResponse{http::serialize_response(503, {{"X-Shed", "1"}}, "", true)};
+  };
+  fixture.publish_endpoints();
+  fixture.engine_client().start({7, 0}, fixture.engine_id(engine), make_spec(make_request_id(7)));
+  fixture.run_for(2 * kSecond);
+  EXPECT_GT(engine.request_count("GET"), 2u);
+  EXPECT_EQ(fixture.engine_client().active_attempts(), 1u);
+  fixture.engine_client().cancel({7, 0});
+  fixture.run_for(10 * kSecond);
+}
+
+// A start that the engine has not read before it closed the connection is never read.
+TEST(EngineClient, UnknownAttemptEndsItAfterTheEngineHasClosedTheConnectionOfItsStart) {
+  PlatformFixture fixture;
+  ScriptedEngine& engine = fixture.add_engine();
+  engine.script = [](const ScriptedEngine::ReceivedRequest& received) {
+    if (received.request.method == "POST") return ScriptedResponse{"", 500 * kMs, true, false, "", true};
+    return ScriptedResponse{http::serialize_response(500, {}, "", true)};
+  };
+  fixture.publish_endpoints();
+  fixture.engine_client().start({7, 0}, fixture.engine_id(engine), make_spec(make_request_id(7)));
+  fixture.run_for(495 * kMs);
+  EXPECT_EQ(fixture.engine_client().active_attempts(), 1u);
+  fixture.run_for(300 * kMs);
+  EXPECT_EQ(fixture.engine_client().active_attempts(), 0u);
+}
+
 TEST(EngineClient, MalformedPagesAreFetchedAgain) {
   const std::vector<std::string> malformed_responses = {
       "HTTP/1.1 200 OK\r\nPage-No: 1\r\nContent-Length: 3221225472\r\n\r\n",
--- a/tests/platform/engine_client/orphaned_attempts_test.cpp
+++ b/tests/platform/engine_client/orphaned_attempts_test.cpp
@@ -249,6 +249,45 @@
   EXPECT_EQ(cancellations, kUnconfirmedCalls + 1);
 }
 
+// The same engine may be chosen again: its late read of the first start must not be mistaken for the second.
+TEST(OrphanedAttempts, NextAttemptOnTheSameEngineWaitsToo) {
+  PlatformFixture fixture;
+  ScriptedEngine& engine = fixture.add_engine();
+  const auto hang = std::make_shared<HangBeforeStartScript>(engine, kSecond, 10 * kSecond);
+  engine.script = [hang](const ScriptedEngine::ReceivedRequest& received) { return (*hang)(received); };
+  fixture.publish_endpoints();
+  fixture.engine_client().start({7, 0}, fixture.engine_id(engine), make_spec(make_request_id(7)));
+  fixture.run_for(500 * kMs);
+  fixture.engine_client().cancel({7, 0});
+  fixture.engine_client().start({7, 1}, fixture.engine_id(engine), make_spec(make_request_id(7)));
+  fixture.world().run_until(hang->resumes_at());
+  EXPECT_EQ(engine.request_count("POST"), 1u);
+  fixture.run_for(kSecond);
+  EXPECT_EQ(engine.request_count("POST"), 2u);
+  fixture.engine_client().cancel({7, 1});
+  fixture.run_for(kSecond);
+}
+
+// A request that has its final response, for example at a shutdown, sends nothing more when its earlier
+// attempt ends.
+TEST(OrphanedAttempts, DelayedAttemptThatIsCancelledIsNeverSent) {
+  PlatformFixture fixture;
+  ScriptedEngine& first_engine = fixture.add_engine();
+  ScriptedEngine& second_engine = fixture.add_engine();
+  first_engine.execution_time_us = 10 * kSecond;
+  first_engine.script = confirm_cancellation_late;
+  fixture.publish_endpoints();
+  fixture.engine_client().start({7, 0}, fixture.engine_id(first_engine), make_spec(make_request_id(7)));
+  fixture.run_for(100 * kMs);
+  fixture.engine_client().cancel({7, 0});
+  fixture.engine_client().start({7, 1}, fixture.engine_id(second_engine), make_spec(make_request_id(7)));
+  fixture.run_for(50 * kMs);
+  fixture.engine_client().cancel({7, 1});
+  fixture.run_for(5 * kSecond);
+  EXPECT_EQ(first_engine.request_count("DELETE"), 1u);
+  EXPECT_EQ(second_engine.received_requests.size(), 0u);
+}
+
 // A client may repeat its request with the same tag, for example after a disconnect. Engines identify the
 // attempts of both requests by this tag.
 TEST(OrphanedAttempts, ReusedClientTagWaitsForPreviousAttempt) {
--- a/tests/platform/hanging_engine.h
+++ b/tests/platform/hanging_engine.h
@@ -66,6 +66,7 @@
   double start_lost = 0;       // the connection is reset before the start is read
   double response_lost = 0;    // a call is read and its connection is reset instead of a response
   double response_never = 0;   // a call is read and gets no response
+  double response_spoilt = 0;  // a response is not valid HTTP
   double statement_fails = 0;  // at its end
   double shed = 0;             // at its start
 };
@@ -227,6 +228,7 @@
   void respond(const StreamPtr& stream, std::string bytes) {
     if (random_.chance(troubles_.response_never)) return;
     if (random_.chance(troubles_.response_lost)) return stream->close();
+    if (random_.chance(troubles_.response_spoilt)) bytes = "\x01\x02 noise\r\n\r\n";
     boost::asio::co_spawn(
         world_.executor(),
         [](StreamPtr to, std::string text) -> rpc::Awaitable<void> {
--- a/tests/platform/hanging_engine_soak_test.cpp
+++ b/tests/platform/hanging_engine_soak_test.cpp
@@ -124,6 +124,7 @@
   troubles.start_lost = 0.02;
   troubles.response_lost = 0.02;
   troubles.response_never = 0.01;
+  troubles.response_spoilt = 0.02;
   troubles.statement_fails = 0.02;
   troubles.shed = 0.02;
   return troubles;
