One backoff for three places; each answer of an engine is parsed once

Behaviour is unchanged.

Change: base/backoff.h (delays that double up to a limit) serves the attempts' calls, the dials and the endpoint watcher, where the same clamp stood three times.

--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -23,6 +23,7 @@
 namespace {
 
 constexpr TimeUs kNodeShutdownGraceUs = 10'000'000;
+constexpr const char* kDefaultPlatformLogLevel = "info";
 
 // Calls on_shutdown on SIGTERM and SIGINT, and on_reload on SIGHUP. While a handler exists, these signals
 // don't terminate the process.
@@ -104,6 +105,15 @@
 name = "ceremony"
 )";
 
+// The platform's configuration has no key for the log's level, so it is set by an environment variable.
+std::string platform_log_level() {
+  const char* const level = std::getenv("SABLELINK_LOG_LEVEL");
+  if (level == nullptr || *level == '\0') return kDefaultPlatformLogLevel;
+  for (const char* const known : {"debug", "info", "warn", "error"})
+    if (std::string_view(level) == known) return known;
+  throw CommandError("the environment variable SABLELINK_LOG_LEVEL isn't debug, info, warn or error");
+}
+
 }  // namespace
 
 std::string read_file(const std::string& path) {
@@ -166,21 +176,6 @@
   return kSuccess;
 }
 
-namespace {
-
-constexpr const char* kDefaultPlatformLogLevel = "info";
-
-// The platform's configuration has no key for the log's level, so it is set by an environment variable.
-std::string platform_log_level() {
-  const char* const level = std::getenv("SABLELINK_LOG_LEVEL");
-  if (level == nullptr || *level == '\0') return kDefaultPlatformLogLevel;
-  for (const char* const known : {"debug", "info", "warn", "error"})
-    if (std::string_view(level) == known) return known;
-  throw CommandError("the environment variable SABLELINK_LOG_LEVEL isn't debug, info, warn or error");
-}
-
-}  // namespace
-
 int run_platform(const service::System& system) {
   const char* const config_file = std::getenv("BALANCER_CONFIG");
   if (config_file == nullptr) throw CommandError("the environment variable BALANCER_CONFIG isn't set");
--- a/src/platform/endpoints/endpoint_watcher.cpp
+++ b/src/platform/endpoints/endpoint_watcher.cpp
@@ -1,12 +1,12 @@
 #include "platform/endpoints/endpoint_watcher.h"
 
-#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <optional>
 #include <utility>
 
 #include "base/async_event.h"
+#include "base/backoff.h"
 
 namespace sablelink::platform {
 namespace {
@@ -54,11 +54,11 @@
 
 rpc::Awaitable<void> EndpointWatcher::watch(uint64_t generation, std::string address) {
   const WeakPtr<EndpointWatcher> self = weak_factory_.get_weak_ptr();
-  TimeUs backoff_us = 0;
+  Backoff backoff(kMinBackoffUs, kMaxBackoffUs);
   while (true) {
-    if (backoff_us > 0) co_await sleep_for(clock_, backoff_us);
+    if (backoff.delay_us() > 0) co_await sleep_for(clock_, backoff.delay_us());
     if (!self || generation != connection_generation_) co_return;
-    backoff_us = std::clamp(backoff_us * 2, kMinBackoffUs, kMaxBackoffUs);
+    backoff.next_us();
     const rpc::ConnectResult connected = co_await dialer_.connect(address, kDialTimeoutUs);
     const std::shared_ptr<rpc::ByteStream>& stream = connected.stream;
     if (!self || generation != connection_generation_) co_return;
@@ -66,7 +66,7 @@
     activate(generation, stream);
     const bool received_lines = co_await read_events(generation, address, stream);
     if (!self || generation < active_generation_) co_return;
-    if (received_lines) backoff_us = kReconnectDelayUs;
+    if (received_lines) backoff.reset(kReconnectDelayUs);
   }
 }
 
--- a/src/platform/engine_client/connection_pool.cpp
+++ b/src/platform/engine_client/connection_pool.cpp
@@ -1,12 +1,12 @@
 #include "platform/engine_client/connection_pool.h"
 
-#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <list>
 #include <utility>
 #include <vector>
 
+#include "base/backoff.h"
 #include "platform/engine_client/engine_protocol.h"
 
 namespace sablelink::platform {
@@ -55,7 +55,7 @@
   CallQueue calls;
   EngineConnections connections;
   size_t dials_in_progress = 0;
-  TimeUs dial_backoff_us = 0;             // delay after the last dial if it failed, otherwise 0
+  Backoff dial_backoff{kMinDialBackoffUs, kMaxDialBackoffUs};  // reset by a successful dial
   bool reset_since_last_success = false;  // a connection was reset since the last successful dial or response
   TimeUs next_dispatch_at = 0;            // 0: none is scheduled
 
@@ -222,7 +222,7 @@
     on_dial_failed(engine, connected.status);
     co_return;
   }
-  engine->dial_backoff_us = 0;
+  engine->dial_backoff.reset();
   engine->reset_since_last_success = false;
   const auto connection = std::make_shared<EngineConnection>(stream, ++last_connection_number_, clock_.now());
   engine->connections.add(connection);
@@ -249,8 +249,8 @@
     fail_calls(*engine, CallType::kPoll, CallFailure::kRefused);
   }
   if (refused && engine->connections.empty()) fail_calls(*engine, CallType::kCancel, CallFailure::kRefused);
-  engine->dial_backoff_us = std::clamp(2 * engine->dial_backoff_us, kMinDialBackoffUs, kMaxDialBackoffUs);
-  if (!engine->calls.empty()) schedule_dispatch(engine, engine->dial_backoff_us);
+  const TimeUs delay_us = engine->dial_backoff.next_us();
+  if (!engine->calls.empty()) schedule_dispatch(engine, delay_us);
 }
 
 void ConnectionPool::on_bytes(const EngineStatePtr& engine, const ConnectionPtr& connection,
--- a/src/platform/engine_client/engine_attempt.cpp
+++ b/src/platform/engine_client/engine_attempt.cpp
@@ -1,6 +1,5 @@
 #include "platform/engine_client/engine_attempt.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace sablelink::platform {
@@ -17,13 +16,13 @@
 
 }  // namespace
 
-TimeUs Backoff::next_us() {
-  delay_us_ = std::clamp(2 * delay_us_, kMinBackoffUs, kMaxBackoffUs);
-  return delay_us_;
-}
-
 EngineAttempt::EngineAttempt(dispatch::AttemptId id, EngineId engine, dispatch::AttemptSpec spec, TimeUs now)
-    : id_(id), engine_(engine), spec_(std::move(spec)), created_at_(now) {}
+    : id_(id),
+      engine_(engine),
+      spec_(std::move(spec)),
+      created_at_(now),
+      unknown_poll_backoff_(kMinBackoffUs, kMaxBackoffUs),
+      cancel_backoff_(kMinBackoffUs, kMaxBackoffUs) {}
 
 void EngineAttempt::on_start_sent(TimeUs now) {
   start_sent_at_ = now;
--- a/src/platform/engine_client/engine_attempt.h
+++ b/src/platform/engine_client/engine_attempt.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "base/backoff.h"
 #include "dispatch/attempt.h"
 #include "platform/engine_client/engine_protocol.h"
 #include "workload/types.h"
@@ -26,15 +27,6 @@
   Outcome outcome = Outcome::kOk;
 };
 
-/// Delays between repeated calls, which double up to a limit.
-class Backoff {
- public:
-  TimeUs next_us();
-
- private:
-  TimeUs delay_us_ = 0;
-};
-
 /// What is known about the delivery of an attempt's start.
 enum class StartDelivery {
   kNotSent,
@@ -126,10 +118,10 @@
   TimeUs start_sent_at_ = 0;
   TimeUs last_call_at_ = 0;  // when the last start, poll or page request was sent; 0: none
   StartDelivery start_delivery_ = StartDelivery::kNotSent;
-  TimeUs refused_since_ = 0;  // first refused cancellation since the last call; 0: none
-  Backoff unknown_poll_backoff_;
-  Backoff cancel_backoff_;
-  TimeUs next_cancel_at_ = 0;  // 0: none is scheduled
+  TimeUs refused_since_ = 0;      // first refused cancellation since the last call; 0: none
+  Backoff unknown_poll_backoff_;  // between polls while the engine does not know the attempt
+  Backoff cancel_backoff_;        // between cancellations that were not confirmed
+  TimeUs next_cancel_at_ = 0;     // 0: none is scheduled
   bool forgotten_ = false;
   bool finished_ = false;
   int consecutive_call_failures_ = 0;
--- a/src/platform/engine_client/engine_client.cpp
+++ b/src/platform/engine_client/engine_client.cpp
@@ -141,7 +141,7 @@
     }
     case CallType::kStart:
     case CallType::kPoll:
-      on_poll_response(std::move(call), response);
+      on_poll_response(std::move(call), parse_poll_response(response));
       return;
   }
 }
@@ -167,41 +167,38 @@
 }
 
 // Handles the response to a start or to a poll.
-void EngineClient::on_poll_response(EngineCall call, const http::Response& response) {
+void EngineClient::on_poll_response(EngineCall call, PollResponse poll) {
   const AttemptPtr attempt = call.attempt;
-  const PollResponse poll = parse_poll_response(response);
   const bool is_start = call.type == CallType::kStart;
   if (is_start && poll.status != PollResponse::Status::kMalformed) attempt->on_start_read();
   if (attempt->is_finished()) return;
   const bool start_was_settled = is_start || call.start_was_settled;
-  apply_step(std::move(call), attempt->on_poll_response(poll, start_was_settled));
-  if (poll.progress) {
-    dispatcher_->on_attempt_progress(attempt->id(), poll.progress->kind, poll.progress->value);
-  }
+  const std::optional<AttemptProgress> progress = poll.progress;
+  apply_step(std::move(call), attempt->on_poll_response(std::move(poll), start_was_settled));
+  if (progress) dispatcher_->on_attempt_progress(attempt->id(), progress->kind, progress->value);
 }
 
 void EngineClient::on_late_response(EngineCall call, const http::Response& response) {
   if (call.type == CallType::kCancel) {
     on_cancel_response(call, response);
   } else {
-    on_late_start_response(call, response);
+    on_late_start_response(std::move(call), parse_poll_response(response));
   }
 }
 
 // The attempt is polled since its start has timed out, so a response without a result needs no further poll.
-void EngineClient::on_late_start_response(const EngineCall& call, const http::Response& response) {
+void EngineClient::on_late_start_response(EngineCall call, PollResponse poll) {
   const AttemptPtr attempt = call.attempt;
-  const PollResponse::Status status = parse_poll_response(response).status;
-  if (status == PollResponse::Status::kMalformed) return;
+  if (poll.status == PollResponse::Status::kMalformed) return;
   attempt->on_start_read();
-  if (status == PollResponse::Status::kRunning) {
+  if (poll.status == PollResponse::Status::kRunning) {
     if (orphans_.contains(attempt)) schedule_cancel(attempt, 0);
     return;
   }
   if (attempt->is_finished()) {
     on_orphan_ended(attempt);
   } else {
-    on_poll_response(call, response);
+    on_poll_response(std::move(call), std::move(poll));
   }
 }
 
--- a/src/platform/engine_client/engine_client.h
+++ b/src/platform/engine_client/engine_client.h
@@ -80,8 +80,8 @@
   void schedule_call(CallType type, const AttemptPtr& attempt);
   void on_cancel_refused(const AttemptPtr& attempt);
   void on_cancel_response(const EngineCall& call, const http::Response& response);
-  void on_late_start_response(const EngineCall& call, const http::Response& response);
-  void on_poll_response(EngineCall call, const http::Response& response);
+  void on_late_start_response(EngineCall call, PollResponse poll);
+  void on_poll_response(EngineCall call, PollResponse poll);
   void apply_step(EngineCall call, const AttemptStep& step);
   void poll_later(const AttemptPtr& attempt);
   void retry(EngineCall call);
--- a/tests/platform/engine_client/orphaned_attempts_test.cpp
+++ b/tests/platform/engine_client/orphaned_attempts_test.cpp
@@ -12,6 +12,17 @@
 namespace sablelink::test {
 namespace {
 
+// Starts the first attempt of a request.
+void start_first(PlatformFixture& fixture, const ScriptedEngine& engine) {
+  fixture.engine_client().start({7, 0}, fixture.engine_id(engine), make_spec(make_request_id(7)));
+}
+
+// Cancels the first attempt of the request and starts its next one.
+void cancel_and_start_next(PlatformFixture& fixture, const ScriptedEngine& engine) {
+  fixture.engine_client().cancel({7, 0});
+  fixture.engine_client().start({7, 1}, fixture.engine_id(engine), make_spec(make_request_id(7)));
+}
+
 // Rule 2: without hedging, the next attempt reaches its engine only after the previous one has ended.
 TEST(OrphanedAttempts, NextAttemptWaitsForConfirmedCancellation) {
   PlatformFixture fixture;
@@ -21,11 +32,10 @@
   second_engine.execution_time_us = 10 * kSecond;
   first_engine.script = confirm_cancellation_late;
   fixture.publish_endpoints();
-  fixture.engine_client().start({7, 0}, fixture.engine_id(first_engine), make_spec(make_request_id(7)));
+  start_first(fixture, first_engine);
   fixture.run_for(300 * kMs);
   ASSERT_EQ(first_engine.request_count("POST"), 1u);
-  fixture.engine_client().cancel({7, 0});
-  fixture.engine_client().start({7, 1}, fixture.engine_id(second_engine), make_spec(make_request_id(7)));
+  cancel_and_start_next(fixture, second_engine);
   fixture.run_for(kSecond);
   ASSERT_NE(first_engine.first_request("DELETE"), nullptr);
   ASSERT_NE(second_engine.first_request("POST"), nullptr);
@@ -50,10 +60,9 @@
         http::serialize_response(404, {}, "", true)};  // does not confirm the cancellation
   };
   fixture.publish_endpoints();
-  fixture.engine_client().start({7, 0}, fixture.engine_id(first_engine), make_spec(make_request_id(7)));
+  start_first(fixture, first_engine);
   while (first_engine.request_count("POST") == 0) fixture.run_for(kMs);
-  fixture.engine_client().cancel({7, 0});
-  fixture.engine_client().start({7, 1}, fixture.engine_id(second_engine), make_spec(make_request_id(7)));
+  cancel_and_start_next(fixture, second_engine);
   fixture.run_for(kSecond);
   ASSERT_EQ(first_engine.request_count("DELETE"), 2u);
   EXPECT_GE(first_engine.first_request("DELETE")->received_at,
@@ -81,10 +90,9 @@
       return ScriptedResponse{http::serialize_response(204, {}, "", true)};
     };
     fixture.publish_endpoints();
-    fixture.engine_client().start({7, 0}, fixture.engine_id(first_engine), make_spec(make_request_id(7)));
+    start_first(fixture, first_engine);
     fixture.run_for(300 * kMs);
-    fixture.engine_client().cancel({7, 0});
-    fixture.engine_client().start({7, 1}, fixture.engine_id(second_engine), make_spec(make_request_id(7)));
+    cancel_and_start_next(fixture, second_engine);
     fixture.world().run_until(resumes_at);
     EXPECT_EQ(second_engine.request_count("POST"), 0u) << is_start_read;
     fixture.run_for(2 * kSecond);
@@ -148,10 +156,9 @@
     return ScriptedResponse{http::serialize_response(status, {}, "", true), delay};
   };
   fixture.publish_endpoints();
-  fixture.engine_client().start({7, 0}, fixture.engine_id(first_engine), make_spec(make_request_id(7)));
+  start_first(fixture, first_engine);
   fixture.run_for(100 * kMs);
-  fixture.engine_client().cancel({7, 0});
-  fixture.engine_client().start({7, 1}, fixture.engine_id(second_engine), make_spec(make_request_id(7)));
+  cancel_and_start_next(fixture, second_engine);
   fixture.world().run_until(resumes_at);
   EXPECT_EQ(second_engine.request_count("POST"), 0u);
   fixture.run_for(50 * kMs);
@@ -169,10 +176,9 @@
   first_engine.execution_time_us = 10 * kSecond;
   second_engine.execution_time_us = 10 * kSecond;
   first_engine.script = confirm_cancellation_late;
-  fixture.engine_client().start({7, 0}, fixture.engine_id(first_engine), make_spec(make_request_id(7)));
+  start_first(fixture, first_engine);
   fixture.run_for(100 * kMs);
-  fixture.engine_client().cancel({7, 0});
-  fixture.engine_client().start({7, 1}, fixture.engine_id(second_engine), make_spec(make_request_id(7)));
+  cancel_and_start_next(fixture, second_engine);
   fixture.publish_endpoints({{second_engine.address(), EndpointState::kDraining}});
   fixture.run_for(2 * kSecond);
   EXPECT_EQ(second_engine.request_count("POST"), 0u);
@@ -193,10 +199,9 @@
         true)};
   };
   fixture.publish_endpoints();
-  fixture.engine_client().start({7, 0}, fixture.engine_id(first_engine), make_spec(make_request_id(7)));
+  start_first(fixture, first_engine);
   while (first_engine.request_count("POST") == 0) fixture.run_for(kMs);
-  fixture.engine_client().cancel({7, 0});
-  fixture.engine_client().start({7, 1}, fixture.engine_id(second_engine), make_spec(make_request_id(7)));
+  cancel_and_start_next(fixture, second_engine);
   fixture.run_for(3 * kSecond);
   ASSERT_NE(second_engine.first_request("POST"), nullptr);
   EXPECT_GE(second_engine.first_request("POST")->received_at,
@@ -215,11 +220,10 @@
   const auto hang = std::make_shared<HangBeforeStartScript>(first_engine, kSecond, 10 * kSecond);
   first_engine.script = [hang](const ScriptedEngine::ReceivedRequest& received) { return (*hang)(received); };
   fixture.publish_endpoints();
-  fixture.engine_client().start({7, 0}, fixture.engine_id(first_engine), make_spec(make_request_id(7)));
+  start_first(fixture, first_engine);
   fixture.run_for(950 * kMs);
   ASSERT_EQ(fixture.engine_client().counters().starts_overdue, 1u);
-  fixture.engine_client().cancel({7, 0});
-  fixture.engine_client().start({7, 1}, fixture.engine_id(second_engine), make_spec(make_request_id(7)));
+  cancel_and_start_next(fixture, second_engine);
   fixture.run_for(kSecond);
   ASSERT_NE(second_engine.first_request("POST"), nullptr);
   const ScriptedEngine::ReceivedRequest& last_call = first_engine.received_requests.back();
@@ -242,7 +246,7 @@
     return ScriptedResponse{http::serialize_response(404, {}, "", true)};
   };
   fixture.publish_endpoints();
-  fixture.engine_client().start({7, 0}, fixture.engine_id(engine), make_spec(make_request_id(7)));
+  start_first(fixture, engine);
   fixture.run_for(100 * kMs);
   fixture.engine_client().cancel({7, 0});
   fixture.run_for(3 * kSecond);
@@ -256,10 +260,9 @@
   const auto hang = std::make_shared<HangBeforeStartScript>(engine, kSecond, 10 * kSecond);
   engine.script = [hang](const ScriptedEngine::ReceivedRequest& received) { return (*hang)(received); };
   fixture.publish_endpoints();
-  fixture.engine_client().start({7, 0}, fixture.engine_id(engine), make_spec(make_request_id(7)));
+  start_first(fixture, engine);
   fixture.run_for(500 * kMs);
-  fixture.engine_client().cancel({7, 0});
-  fixture.engine_client().start({7, 1}, fixture.engine_id(engine), make_spec(make_request_id(7)));
+  cancel_and_start_next(fixture, engine);
   fixture.world().run_until(hang->resumes_at());
   EXPECT_EQ(engine.request_count("POST"), 1u);
   fixture.run_for(kSecond);
@@ -277,10 +280,9 @@
   first_engine.execution_time_us = 10 * kSecond;
   first_engine.script = confirm_cancellation_late;
   fixture.publish_endpoints();
-  fixture.engine_client().start({7, 0}, fixture.engine_id(first_engine), make_spec(make_request_id(7)));
+  start_first(fixture, first_engine);
   fixture.run_for(100 * kMs);
-  fixture.engine_client().cancel({7, 0});
-  fixture.engine_client().start({7, 1}, fixture.engine_id(second_engine), make_spec(make_request_id(7)));
+  cancel_and_start_next(fixture, second_engine);
   fixture.run_for(50 * kMs);
   fixture.engine_client().cancel({7, 1});
   fixture.run_for(5 * kSecond);
@@ -298,7 +300,7 @@
   second_engine.execution_time_us = 10 * kSecond;
   first_engine.script = confirm_cancellation_late;
   fixture.publish_endpoints();
-  fixture.engine_client().start({7, 0}, fixture.engine_id(first_engine), make_spec(make_request_id(7)));
+  start_first(fixture, first_engine);
   fixture.run_for(100 * kMs);
   fixture.engine_client().cancel({7, 0});
   fixture.engine_client().start({8, 0}, fixture.engine_id(second_engine), make_spec(make_request_id(7)));
--- a/tests/platform/hanging_engine.h
+++ b/tests/platform/hanging_engine.h
@@ -31,7 +31,6 @@
   }
   void on_ended(const std::string& tag, size_t number, TimeUs now) { attempts_[tag][number].ended_at = now; }
 
-  size_t request_count() const { return attempts_.size(); }
   /// Descriptions of the requests that had two attempts out for longer than the rule's slack.
   std::vector<std::string> overlaps() const {
     std::vector<std::string> found;
@@ -62,7 +61,7 @@
 };
 
 /// Probabilities of what goes wrong at an engine, for each call or attempt.
-struct EngineTroubles {
+struct FaultRates {
   double start_lost = 0;       // the connection is reset before the start is read
   double response_lost = 0;    // a call is read and its connection is reset instead of a response
   double response_never = 0;   // a call is read and gets no response
@@ -76,11 +75,11 @@
 class HangingEngine {
  public:
   HangingEngine(sim::World& world, sim::Streams& streams, AttemptAudit& audit, std::string address,
-                EngineTroubles troubles, TimeUs mean_execution_us)
+                FaultRates faults, TimeUs mean_execution_us)
       : world_(world),
         audit_(audit),
         address_(std::move(address)),
-        troubles_(troubles),
+        faults_(faults),
         mean_execution_us_(mean_execution_us),
         actor_(sim::Actor::make(world, "engine/" + address_)),
         random_(world.stream("engine/" + address_)) {
@@ -91,7 +90,6 @@
   HangingEngine& operator=(const HangingEngine&) = delete;
 
   const std::string& address() const { return address_; }
-  sim::RandomStream& random() { return random_; }
 
   void hang_for(TimeUs duration) {
     hangs_until_ = std::max(hangs_until_, world_.now() + duration);
@@ -147,7 +145,7 @@
 
   void read(const Call& call) {
     const bool is_start = call.request.method == "POST";
-    if (is_start && random_.chance(troubles_.start_lost)) return call.stream->close();
+    if (is_start && random_.chance(faults_.start_lost)) return call.stream->close();
     if (is_start) start(call);
     const std::string tag = tag_of(call.request);
     const auto it = attempts_.find(tag);
@@ -169,7 +167,7 @@
 
   void start(const Call& call) {
     const std::string tag = tag_of(call.request);
-    if (random_.chance(troubles_.shed))
+    if (random_.chance(faults_.shed))
       return respond(call.stream, http::serialize_response(503, {{"X-Shed", "1"}}, "", true));
     if (const auto known = attempts_.find(tag); known != attempts_.end() && !known->second.ended)
       audit_.on_ended(tag, known->second.number, world_.now());  // the new attempt takes its place
@@ -177,7 +175,7 @@
     attempt = {};
     attempt.number = audit_.on_started(tag, address_, world_.now());
     attempt.ends_at = world_.now() + random_.between(mean_execution_us_ / 5, 2 * mean_execution_us_);
-    attempt.fails = random_.chance(troubles_.statement_fails);
+    attempt.fails = random_.chance(faults_.statement_fails);
   }
 
   // Writes what is due for the attempt, and schedules the next call of this function.
@@ -226,9 +224,9 @@
   }
 
   void respond(const StreamPtr& stream, std::string bytes) {
-    if (random_.chance(troubles_.response_never)) return;
-    if (random_.chance(troubles_.response_lost)) return stream->close();
-    if (random_.chance(troubles_.response_spoilt)) bytes = "\x01\x02 noise\r\n\r\n";
+    if (random_.chance(faults_.response_never)) return;
+    if (random_.chance(faults_.response_lost)) return stream->close();
+    if (random_.chance(faults_.response_spoilt)) bytes = "\x01\x02 noise\r\n\r\n";
     boost::asio::co_spawn(
         world_.executor(),
         [](StreamPtr to, std::string text) -> rpc::Awaitable<void> {
@@ -240,7 +238,7 @@
   sim::World& world_;
   AttemptAudit& audit_;
   const std::string address_;
-  const EngineTroubles troubles_;
+  const FaultRates faults_;
   const TimeUs mean_execution_us_;
   const std::shared_ptr<sim::Actor> actor_;
   sim::RandomStream random_;
--- a/tests/platform/hanging_engine_soak_test.cpp
+++ b/tests/platform/hanging_engine_soak_test.cpp
@@ -22,7 +22,7 @@
   TimeUs mean_interval_us = 60 * kMs;  // between requests
   TimeUs request_timeout_us = 7 * kSecond;
   double client_leaves = 0;  // probability for each request
-  EngineTroubles troubles;
+  FaultRates faults;
 };
 
 // A gateway with three engines, of which one hangs at a time.
@@ -34,7 +34,7 @@
     for (int i = 1; i <= kEngines; ++i) {
       engines_.push_back(std::make_unique<HangingEngine>(fixture_.world(), fixture_.streams(), audit_,
                                                          "10.0.0." + std::to_string(i) + ":10080",
-                                                         options.troubles, options.mean_execution_us));
+                                                         options.faults, options.mean_execution_us));
       addresses.push_back(engines_.back()->address());
     }
     fixture_.publish_addresses(addresses);
@@ -119,15 +119,15 @@
   }
 }
 
-EngineTroubles all_troubles() {
-  EngineTroubles troubles;
-  troubles.start_lost = 0.02;
-  troubles.response_lost = 0.02;
-  troubles.response_never = 0.01;
-  troubles.response_spoilt = 0.02;
-  troubles.statement_fails = 0.02;
-  troubles.shed = 0.02;
-  return troubles;
+FaultRates all_faults() {
+  FaultRates faults;
+  faults.start_lost = 0.02;
+  faults.response_lost = 0.02;
+  faults.response_never = 0.01;
+  faults.response_spoilt = 0.02;
+  faults.statement_fails = 0.02;
+  faults.shed = 0.02;
+  return faults;
 }
 
 // Guards against the fault of review/2: hangs shorter than an engine's answer to a poll may take.
@@ -156,7 +156,7 @@
   SoakOptions options;
   options.max_hang_us = 3 * kSecond;
   options.client_leaves = 0.1;
-  options.troubles = all_troubles();
+  options.faults = all_faults();
   expect_no_overlap(options);
 }
 
