--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -9,7 +9,8 @@
 namespace {
 
 constexpr int kNodes = 3200;
-constexpr int kBatch = 608;  // 19% of them
+constexpr int kGateways = 900;  // of the fleet; one of them is played
+constexpr int kBatch = 608;     // 19% of them
 constexpr double kNoticeS = 0.9;
 
 std::string host_of(int index) {
@@ -61,7 +62,7 @@
   farm.start();
   log.start();
   review::GatewayOptions options;
-  options.settings = review::nairobi_settings();
+  options.settings = review::nairobi_settings(kGateways);
   review::Gateway gateway(record, argv[1], argv[2]);
   if (!gateway.start(options, log.address(), log.known())) {
     record.say("the query gateway didn't start");
--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -25,7 +25,7 @@
   return statement + ")";
 }
 
-// Again and again: connects, sends three requests at once and goes half a second later.
+// Again and again: connects, sends three requests at once, reads what comes and goes half a second later.
 void run_bad_client(int port, unsigned run, std::atomic<unsigned>& number, const std::atomic<bool>& ended) {
   const std::string statement = long_statement();
   while (!ended) {
@@ -42,6 +42,8 @@
       const ssize_t n = send(fd, requests.data() + sent, requests.size() - sent, MSG_NOSIGNAL | MSG_DONTWAIT);
       if (n > 0) sent += static_cast<size_t>(n);
       if (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK) break;
+      char answer[4096];
+      if (recv(fd, answer, sizeof(answer), MSG_DONTWAIT) == 0) break;
       review::sleep_s(0.002);
     }
     review::reset_on_close(fd);
--- a/review/stand_ins_2/platform.h
+++ b/review/stand_ins_2/platform.h
@@ -164,17 +164,18 @@
   int sockets = 1024;
 };
 
-// The settings of the site nairobi-archive, as its site file and the protocol page give them.
-inline std::string nairobi_settings(const std::string& second_copies = "false") {
+// The settings of the site nairobi-archive, as its site file and the protocol page give them, in a fleet of
+// so many query gateways.
+inline std::string nairobi_settings(int gateways = 1) {
   return R"({"Clients":{"MarksRetry":true},"Discovery":"automatic",
  "Extra":{"Grants":false,"KindCores":[8,8],"MemoryShort":"line_up","MostGrant":0.4,"SaysCost":true,
   "SizeMb":[16384.0,16384.0],"TakesPriority":true,"TellsEveryUs":1000000,"ThreadsByClass":[1,4],
   "WaitsForLoads":[false,false],"WritesTables":[false,false]},
  "Family":"queries","Fees":{"CrossZone":0.02,"LateFail":0.03,"Waste":0.05,"Probe":0.0},
- "Flavors":["std-8a","std-8b"],"Instances":1,
+ "Flavors":["std-8a","std-8b"],"Instances":)" +
+         std::to_string(gateways) + R"(,
  "Limits":{"Cancel":true,"DialTimeoutUs":250000,"IdleCloseUs":15000000,"MaxAttempts":6,"MaxOpen":20000,
-  "MaxRetryAfterUs":2000000,"MaxStreams":32,"Peers":false,"Probes":false,"RetryAfter":true,"SecondCopies":)" +
-         second_copies + R"(},
+  "MaxRetryAfterUs":2000000,"MaxStreams":32,"Peers":false,"Probes":false,"RetryAfter":true,"SecondCopies":false},
  "OverShareWorth":0.1,"Report":{"Fields":["concurrent","depth","x0","x1"],"Source":"inline"},
  "Rules":{"AnswerSlackUs":20000,"AskWithinUs":10000000,"ColdFrom":0.35,"DrainGraceUs":250000,"FallMultiple":3.0,
   "FallUs":1500000,"WarmAfterUs":14000000},
