Platform: log each failed dial, and the totals of refused and failed dials

Cause: when the gateway stops answering after many engines are lost, the log shows neither which connections fail nor why, so a busy loop of dials can't be told from one of calls.

Change: debug event engine_dial_failed with the engine's address, its id, the reason and the number of calls that wait; totals engine_dials_refused and engine_dials_failed at shutdown.

--- a/src/platform/engine_client/connection_pool.cpp
+++ b/src/platform/engine_client/connection_pool.cpp
@@ -236,6 +236,7 @@
 }
 
 void ConnectionPool::on_dial_failed(const EngineStatePtr& engine, rpc::ConnectStatus status) {
+  log_.dial_failed(engine->id, engine->address, status, engine->calls.size());
   const bool refused = status == rpc::ConnectStatus::kRefused;
   // An engine at its connection limit also refuses dials, while its attempts continue. A refused dial is a
   // reason to give up the engine's attempts only if a connection was reset before and none is open.
--- a/src/platform/engine_client/engine_call_log.cpp
+++ b/src/platform/engine_client/engine_call_log.cpp
@@ -17,6 +17,20 @@
   return "unknown";
 }
 
+std::string_view dial_failure_name(rpc::ConnectStatus status) {
+  switch (status) {
+    case rpc::ConnectStatus::kConnected:
+      return "connected";
+    case rpc::ConnectStatus::kRefused:
+      return "refused";
+    case rpc::ConnectStatus::kTimeout:
+      return "timeout";
+    case rpc::ConnectStatus::kFailed:
+      return "failed";
+  }
+  return "unknown";
+}
+
 }  // namespace
 
 void EngineCallLog::call_sent(const SentCall& sent) const {
@@ -31,6 +45,16 @@
   write_call("engine_call_interrupted", sent, "reason", reason);
 }
 
+void EngineCallLog::dial_failed(EngineId engine, const std::string& address, rpc::ConnectStatus status,
+                                size_t pending_calls) const {
+  if (!log_.is_enabled(LogLevel::kDebug)) return;
+  log_.write(LogLevel::kDebug, "engine_dial_failed",
+             {{"engine", address},
+              {"engine_id", std::to_string(engine)},
+              {"reason", std::string(dial_failure_name(status))},
+              {"pending_calls", std::to_string(pending_calls)}});
+}
+
 void EngineCallLog::attempt_delayed(const EngineAttempt& attempt) const {
   write_attempt("attempt_delayed", attempt);
 }
--- a/src/platform/engine_client/engine_call_log.h
+++ b/src/platform/engine_client/engine_call_log.h
@@ -1,12 +1,15 @@
 // Log events that follow one attempt through its calls to an engine.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
 
 #include "base/log.h"
 #include "platform/engine_client/call_queue.h"
+#include "rpc/byte_stream.h"
+#include "workload/types.h"
 
 namespace sablelink::platform {
 
@@ -28,6 +31,10 @@
   /// The call ended without a response. The reason is "timeout" or "connection_lost".
   void call_interrupted(const SentCall& sent, std::string_view reason) const;
 
+  /// A connection to the engine could not be established. `pending_calls` calls wait for one.
+  void dial_failed(EngineId engine, const std::string& address, rpc::ConnectStatus status,
+                   size_t pending_calls) const;
+
   /// The start of the attempt waits until an earlier attempt of its request has ended.
   void attempt_delayed(const EngineAttempt& attempt) const;
   /// The earlier attempt has ended, so the start is no longer delayed.
--- a/src/service/platform_service.cpp
+++ b/src/service/platform_service.cpp
@@ -153,6 +153,8 @@
               {"malformed_requests", std::to_string(clients.invalid_requests + clients.malformed_requests)},
               {"client_connections_rejected", std::to_string(clients.rejected_at_capacity)},
               {"engine_connections", std::to_string(engines.dials)},
+              {"engine_dials_refused", std::to_string(engines.dials_refused)},
+              {"engine_dials_failed", std::to_string(engines.dials_failed)},
               {"engine_calls", std::to_string(engines.calls_sent)},
               {"engine_calls_interrupted", std::to_string(engines.calls_interrupted)},
               {"engine_responses_malformed", std::to_string(engines.malformed_responses)},
--- a/tests/platform/engine_client/engine_call_log_test.cpp
+++ b/tests/platform/engine_client/engine_call_log_test.cpp
@@ -40,5 +40,14 @@
                                                  "attempt_released" + attempt_fields}));
 }
 
+TEST(EngineCallLog, FailedDialNamesTheEngineTheReasonAndTheWaitingCalls) {
+  RecordingLog log;
+  const platform::EngineCallLog call_log(log);
+  call_log.dial_failed(3, "10.0.0.1:10080", rpc::ConnectStatus::kRefused, 2);
+  EXPECT_EQ(log.lines,
+            (std::vector<std::string>{
+                "engine_dial_failed engine=10.0.0.1:10080 engine_id=3 reason=refused pending_calls=2"}));
+}
+
 }  // namespace
 }  // namespace sablelink::test
