Fix the busy loop of dials after many engines are lost at once

Cause: the pool dropped the state of a removed engine between two cancellations of an attempt there, and the registry retains only 256 removed addresses, so the next state had an empty one. TcpTransport::connect failed within the call for it, and dispatch() dials again as long as no dial is in progress.

Change: the pool keeps an engine's state for as long as one of its attempts exists, and a dial never completes within the call, which Dialer now states. Either change alone ends the loop; the first also lets cancellations arrive.

Tests: three, each failed before (1,001 dials of at most 1,000; no DELETE arrived; connect() completed within the call) and passes now.

--- a/src/membership/endpoint_registry.h
+++ b/src/membership/endpoint_registry.h
@@ -19,8 +19,8 @@
 class EndpointRegistry {
  public:
   /// Number of removed engines whose addresses and identifiers are retained. It limits the memory of a
-  /// gateway whose engines are replaced continually, and far fewer engines are removed while an attempt is in
-  /// flight.
+  /// gateway whose engines are replaced continually. More engines can be removed at once, so whoever still
+  /// needs the address of a removed engine must keep a copy.
   static constexpr size_t kMaxRemovedEngines = 256;
 
   /// Replaces the endpoint list with a complete new one. An engine whose address has changed is treated as a
@@ -29,8 +29,8 @@
 
   /// The current list, in the order of the last replace().
   const std::vector<Endpoint>& endpoints() const { return endpoints_; }
-  /// Returns the engine's "host:port". Removed engines are included while they are retained, as attempts may
-  /// still be in flight there. Empty for an identifier that was never assigned or is no longer retained.
+  /// Returns the engine's "host:port". Removed engines are included while they are retained. Empty for an
+  /// identifier that was never assigned or is no longer retained.
   const std::string& address(EngineId engine) const;
 
  private:
--- a/src/platform/engine_client/connection_pool.cpp
+++ b/src/platform/engine_client/connection_pool.cpp
@@ -51,7 +51,7 @@
   std::string address;
   EndpointState endpoint_state = EndpointState::kRemoved;
   bool is_listed = false;
-  size_t attempt_count = 0;
+  std::vector<std::weak_ptr<const EngineAttempt>> attempts;
   CallQueue calls;
   EngineConnections connections;
   size_t dials_in_progress = 0;
@@ -59,8 +59,11 @@
   bool reset_since_last_success = false;  // a connection was reset since the last successful dial or response
   TimeUs next_dispatch_at = 0;            // 0: none is scheduled
 
+  void remove_destroyed_attempts() {
+    std::erase_if(attempts, [](const auto& attempt) { return attempt.expired(); });
+  }
   bool is_unused() const {
-    return !is_listed && attempt_count == 0 && connections.empty() && dials_in_progress == 0 && calls.empty();
+    return !is_listed && attempts.empty() && connections.empty() && dials_in_progress == 0 && calls.empty();
   }
 };
 
@@ -112,14 +115,12 @@
   }
 }
 
-void ConnectionPool::add_attempt(const EngineAttempt& attempt) {
-  ++state_of(attempt.engine())->attempt_count;
+void ConnectionPool::add_attempt(const std::shared_ptr<EngineAttempt>& attempt) {
+  state_of(attempt->engine())->attempts.push_back(attempt);
 }
 
-void ConnectionPool::remove_attempt(const std::shared_ptr<EngineAttempt>& attempt) {
-  const EngineStatePtr engine = state_of(attempt->engine());
-  --engine->attempt_count;
-  engine->calls.remove_attempt(attempt);
+void ConnectionPool::remove_calls(const std::shared_ptr<EngineAttempt>& attempt) {
+  state_of(attempt->engine())->calls.remove_attempt(attempt);
 }
 
 void ConnectionPool::remove_cancellation(const std::shared_ptr<EngineAttempt>& attempt) {
@@ -387,6 +388,7 @@
     const EngineStatePtr engine = it->second;
     ++it;
     expire_connections(engine, now, was_stalled);
+    engine->remove_destroyed_attempts();
     if (engine->is_unused()) engines_.erase(engine->id);
   }
 }
--- a/src/platform/engine_client/connection_pool.h
+++ b/src/platform/engine_client/connection_pool.h
@@ -73,10 +73,11 @@
   /// Updates the endpoints from the registry. Queued starts for an engine that is not ready fail.
   void on_endpoints_changed();
 
-  /// Keeps the state of the attempt's engine until the attempt is removed.
-  void add_attempt(const EngineAttempt& attempt);
-  /// Removes the attempt and its queued calls except its cancellation.
-  void remove_attempt(const std::shared_ptr<EngineAttempt>& attempt);
+  /// Keeps the state of the attempt's engine, with its address, for as long as the attempt exists. A finished
+  /// attempt that is still being cancelled exists, also after its engine has left the registry.
+  void add_attempt(const std::shared_ptr<EngineAttempt>& attempt);
+  /// Removes the attempt's queued calls except its cancellation.
+  void remove_calls(const std::shared_ptr<EngineAttempt>& attempt);
   /// Removes the queued cancellation of an attempt.
   void remove_cancellation(const std::shared_ptr<EngineAttempt>& attempt);
 
--- a/src/platform/engine_client/engine_client.cpp
+++ b/src/platform/engine_client/engine_client.cpp
@@ -35,7 +35,7 @@
 void EngineClient::start(dispatch::AttemptId id, EngineId engine, const dispatch::AttemptSpec& spec) {
   const auto attempt = std::make_shared<EngineAttempt>(id, engine, spec, clock_.now());
   attempts_[{id.request, id.number}] = attempt;
-  pool_.add_attempt(*attempt);
+  pool_.add_attempt(attempt);
   if (!options_.hedging_allowed && orphans_.delay_if_needed(attempt)) {
     ++counters_.attempts_delayed;
     log_.attempt_delayed(*attempt);
@@ -68,7 +68,7 @@
 void EngineClient::remove_attempt(const AttemptPtr& attempt) {
   attempt->finish();
   attempts_.erase({attempt->id().request, attempt->id().number});
-  pool_.remove_attempt(attempt);
+  pool_.remove_calls(attempt);
   orphans_.remove_delayed(attempt);
 }
 
--- a/src/rpc/byte_stream.h
+++ b/src/rpc/byte_stream.h
@@ -67,7 +67,8 @@
   virtual ~Dialer() = default;
   /// The executor of the strand to which the streams belong.
   virtual boost::asio::any_io_executor executor() const = 0;
-  /// address: "host:port".
+  /// address: "host:port". Completes only after the call has returned, also where it fails at once: callers
+  /// count the dials in progress before they start another one.
   virtual Awaitable<ConnectResult> connect(std::string address, TimeUs timeout_us) = 0;
 };
 
--- a/src/rpc/tcp_transport.cpp
+++ b/src/rpc/tcp_transport.cpp
@@ -6,9 +6,11 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <charconv>
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 #include <utility>
 
@@ -40,7 +42,7 @@
 
 // Accepts only numeric hosts and "localhost". Names aren't resolved; the configuration must contain
 // addresses.
-tcp::endpoint parse_endpoint(const std::string& address) {
+std::optional<tcp::endpoint> parse_endpoint(const std::string& address) {
   const size_t colon = address.rfind(':');
   if (colon != std::string::npos) {
     std::string host = address.substr(0, colon);
@@ -48,9 +50,9 @@
     error_code error;
     const asio::ip::address ip = asio::ip::make_address(host, error);
     const std::optional<uint16_t> port = parse_port(std::string_view(address).substr(colon + 1));
-    if (!error && port) return {ip, *port};
+    if (!error && port) return tcp::endpoint(ip, *port);
   }
-  throw AddressError("'" + address + "' is no address of the form 127.0.0.1:8080");
+  return std::nullopt;
 }
 
 ConnectStatus connect_status(error_code error) {
@@ -197,10 +199,11 @@
 }
 
 int TcpTransport::listen(const std::string& address, StreamHandler handler) {
-  const tcp::endpoint endpoint = parse_endpoint(address);
+  const std::optional<tcp::endpoint> endpoint = parse_endpoint(address);
+  if (!endpoint) throw AddressError("'" + address + "' is no address of the form 127.0.0.1:8080");
   std::shared_ptr<Listener> listener;
   try {
-    listener = std::make_shared<Listener>(*this, endpoint, std::move(handler));
+    listener = std::make_shared<Listener>(*this, *endpoint, std::move(handler));
   } catch (const boost::system::system_error& e) {
     throw ListenError("can't listen at " + address + ": " + e.code().message());
   }
@@ -219,11 +222,10 @@
 }
 
 Awaitable<ConnectResult> TcpTransport::connect(std::string address, TimeUs timeout_us) {
-  tcp::endpoint endpoint;
-  try {
-    endpoint = parse_endpoint(address);
-  } catch (const AddressError&) {
-    // Addresses also come from endpoint lists, where an invalid one must not stop the caller.
+  // Addresses also come from endpoint lists, where an invalid one must not stop the caller.
+  const std::optional<tcp::endpoint> endpoint = parse_endpoint(address);
+  if (!endpoint) {
+    co_await asio::post(strand_.executor, asio::use_awaitable);
     co_return ConnectResult{ConnectStatus::kFailed, nullptr};
   }
   const std::shared_ptr<TcpSocket> socket = make_socket();
@@ -233,7 +235,7 @@
     const std::shared_ptr<TcpSocket> pending = weak_socket.lock();
     if (pending && !*completed) pending->close();
   });
-  const error_code error = co_await socket->connect(endpoint);
+  const error_code error = co_await socket->connect(*endpoint);
   *completed = true;
   if (error) co_return ConnectResult{connect_status(error), nullptr};
   context_.run_on_io([socket] { socket->disable_nagle(); });
--- a/tests/platform/engine_client/connection_pool_test.cpp
+++ b/tests/platform/engine_client/connection_pool_test.cpp
@@ -202,6 +202,133 @@
   }
 }
 
+// Guards against cancellations that never arrive because an engine was removed in a large batch: the address
+// of an engine is kept for as long as one of its attempts may still be cancelled.
+TEST(ConnectionPool, CancellationReachesAnEngineRemovedTogetherWithManyOthers) {
+  PlatformFixture fixture;
+  ScriptedEngine& engine = fixture.add_engine();
+  engine.execution_time_us = 10 * kSecond;
+  std::vector<std::string> addresses = {engine.address()};
+  constexpr size_t kOthers = 2 * membership::EndpointRegistry::kMaxRemovedEngines;
+  for (size_t i = 0; i < kOthers; ++i) addresses.push_back("10.1.0." + std::to_string(i) + ":10080");
+  fixture.publish_addresses(addresses);
+  fixture.engine_client().start({7, 0}, fixture.engine_id(engine), make_spec(make_request_id(7)));
+  fixture.run_for(100 * kMs);
+  ASSERT_EQ(engine.request_count("POST"), 1u);
+  fixture.streams().unlisten(engine.address());
+  fixture.streams().reset(engine.address());
+  fixture.publish_addresses({});
+  fixture.run_for(kSecond);
+  ASSERT_EQ(engine.request_count("DELETE"), 0u);
+  engine.listen(fixture.streams());
+  fixture.run_for(kSecond);
+  EXPECT_EQ(engine.request_count("DELETE"), 1u);
+}
+
+// Passes dials on until their number reaches a limit that only a busy loop reaches; later ones never
+// complete, so that the loop ends.
+class LimitedDialer : public rpc::Dialer {
+ public:
+  static constexpr int kMaxDials = 1'000;
+
+  explicit LimitedDialer(rpc::Dialer& dialer) : dialer_(dialer) {}
+  boost::asio::any_io_executor executor() const override { return dialer_.executor(); }
+  rpc::Awaitable<rpc::ConnectResult> connect(std::string address, TimeUs timeout_us) override {
+    if (++dials_ > kMaxDials) co_await never_.wait();
+    const rpc::ConnectResult connected = co_await dialer_.connect(std::move(address), timeout_us);
+    co_return connected;
+  }
+  int dials() const { return dials_; }
+
+ private:
+  rpc::Dialer& dialer_;
+  AsyncEvent never_;
+  int dials_ = 0;
+};
+
+// Runs an engine client on TCP sockets and an event loop of its own.
+class TcpEngineClient {
+ public:
+  TcpEngineClient() {
+    platform::EngineClientOptions options;
+    options.budget.engines = 4;
+    options.class_names = {"lookup"};
+    client_ = std::make_unique<platform::EngineClient>(options, dialer_, loop_, registry_, log_);
+    dispatcher_ = std::make_unique<dispatch::RequestDispatcher>(
+        plain_settings(), 7, dispatch::DispatcherLimits{}, loop_, *client_, endpoint_source_, log_);
+    client_->set_dispatcher(dispatcher_.get());
+  }
+  ~TcpEngineClient() {
+    client_.reset();
+    network_.reset();
+    loop_.poll();
+  }
+
+  void publish_addresses(const std::vector<std::string>& addresses) {
+    std::vector<config::EngineConfig> engines;
+    for (const std::string& address : addresses) {
+      config::EngineConfig engine;
+      engine.name = address;
+      engine.address = address;
+      engines.push_back(engine);
+    }
+    registry_.replace(engines);
+    client_->on_endpoints_changed();
+  }
+  void run_for(TimeUs duration) {
+    loop_.call_after(duration, [this] { loop_.stop(); });
+    loop_.run();
+  }
+
+  rpc::AsioLoop& loop() { return loop_; }
+  rpc::TcpTransport& network() { return *network_; }
+  const membership::EndpointRegistry& registry() const { return registry_; }
+  platform::EngineClient& client() { return *client_; }
+  int dials() const { return dialer_.dials(); }
+
+ private:
+  struct StaticEndpointSource : dispatch::EndpointSource {
+    void watch(bool) override {}
+    void fetch() override {}
+  };
+
+  rpc::AsioLoop loop_{[] { return std::chrono::system_clock::now(); },
+                      [] { return std::chrono::steady_clock::now(); }};
+  std::unique_ptr<rpc::TcpTransport> network_ = std::make_unique<rpc::TcpTransport>(loop_);
+  LimitedDialer dialer_{*network_};
+  membership::EndpointRegistry registry_;
+  NullLog log_;
+  StaticEndpointSource endpoint_source_;
+  std::unique_ptr<platform::EngineClient> client_;
+  std::unique_ptr<dispatch::RequestDispatcher> dispatcher_;
+};
+
+// Guards against a gateway that dials in a busy loop, without serving anything else, after many engines were
+// lost at once under running attempts.
+TEST(ConnectionPool, LossOfManyEnginesAtOnceDoesNotBlockTheEventLoop) {
+  TcpEngineClient gateway;
+  std::vector<std::shared_ptr<rpc::ByteStream>> connections;
+  std::vector<std::string> addresses;
+  addresses.push_back("127.0.0.1:" +
+                      std::to_string(gateway.network().listen(
+                          "127.0.0.1:0", [&](std::shared_ptr<rpc::ByteStream> s) -> rpc::Awaitable<void> {
+                            connections.push_back(s);
+                            co_return;
+                          })));
+  constexpr size_t kOthers = 2 * membership::EndpointRegistry::kMaxRemovedEngines;
+  for (size_t i = 0; i < kOthers; ++i) addresses.push_back("127.0.0.1:" + std::to_string(1 + i));
+  gateway.publish_addresses(addresses);
+  gateway.client().start({7, 0}, gateway.registry().endpoints()[0].engine, make_spec(make_request_id(7)));
+  gateway.run_for(100 * kMs);
+  ASSERT_EQ(gateway.client().counters().calls_sent, 1u);
+  gateway.network().stop_listening();
+  for (const auto& connection : connections) connection->reset();
+  gateway.run_for(100 * kMs);
+  gateway.publish_addresses({});
+  gateway.run_for(2 * kSecond);
+  EXPECT_LT(gateway.dials(), LimitedDialer::kMaxDials);
+}
+
 // Engines abandon an attempt that receives no call for 2 s.
 TEST(ConnectionPool, ManyAttemptsArePolledOverFewConnections) {
   PlatformFixture fixture(20, 4);
--- a/tests/stream_test.cpp
+++ b/tests/stream_test.cpp
@@ -3,8 +3,11 @@
 #include <gtest/gtest.h>
 
 #include <atomic>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <thread>
 
 #include "base/async_event.h"
@@ -291,6 +294,30 @@
   EXPECT_TRUE(server_broken);
 }
 
+// Guards against busy loops of callers that dial again as long as no dial is in progress.
+TEST(TcpTransport, ConnectToAnInvalidAddress_FailsOnlyAfterTheCall) {
+  rpc::AsioLoop loop([] { return std::chrono::system_clock::now(); },
+                     [] { return std::chrono::steady_clock::now(); });
+  rpc::TcpTransport transport(loop);
+  std::optional<rpc::ConnectStatus> status;
+  bool is_within_call = false;
+  loop.post([&] {
+    is_within_call = true;
+    boost::asio::co_spawn(
+        loop.executor(),
+        [&]() -> Awaitable<void> {
+          const rpc::ConnectResult connected = co_await transport.connect("no address", kSecond);
+          EXPECT_FALSE(is_within_call);
+          status = connected.status;
+          loop.stop();
+        },
+        boost::asio::detached);
+    is_within_call = false;
+  });
+  loop.run();
+  EXPECT_EQ(status, rpc::ConnectStatus::kFailed);
+}
+
 TEST(TcpTransport, InvalidAddress_IsNamedInTheError) {
   rpc::GrpcLoop loop([] { return std::chrono::system_clock::now(); },
                      [] { return std::chrono::steady_clock::now(); });
