Platform: count and log the memory that requests use

Cause: nothing tells how much memory the requests of clients take, nor whether buffers, open statements, calls to engines or responses take it.

Change: MemoryBudget counts the bytes by use; info event request_memory at each further MiB of the peak, total request_memory_peak_kb. Nothing is refused for it yet.

--- a/src/http/reader.cpp
+++ b/src/http/reader.cpp
@@ -81,6 +81,12 @@
   return status_;
 }
 
+size_t MessageReader::stored_bytes() const {
+  size_t bytes = buffer_.size() + request_.target.size() + body().size();
+  for (const auto& [name, value] : fields()) bytes += name.size() + value.size();
+  return bytes;
+}
+
 void MessageReader::start_next_message() {
   discard_parsed_bytes();
   if (buffer_.empty()) buffer_.shrink_to_fit();
--- a/src/http/reader.h
+++ b/src/http/reader.h
@@ -35,6 +35,8 @@
   bool has_buffered_bytes() const { return parsed_bytes_ < buffer_.size(); }
   /// The number of received bytes that have not been parsed.
   size_t buffered_bytes() const { return buffer_.size() - parsed_bytes_; }
+  /// The number of bytes that this reader stores: received ones and those of the message's parsed part.
+  size_t stored_bytes() const;
   /// Whether no byte of the next message has been received.
   bool is_at_message_start() const { return part_ == Part::kStartLine && !has_buffered_bytes(); }
 
@@ -90,6 +92,8 @@
   void discard_parsed_bytes();
 
   bool is_request() const { return kind_ == MessageKind::kRequest; }
+  const Fields& fields() const { return is_request() ? request_.fields : response_.fields; }
+  const std::string& body() const { return is_request() ? request_.body : response_.body; }
   Fields& fields() { return is_request() ? request_.fields : response_.fields; }
   std::string& body() { return is_request() ? request_.body : response_.body; }
 
--- a/src/platform/engine_client/connection_pool.cpp
+++ b/src/platform/engine_client/connection_pool.cpp
@@ -198,6 +198,7 @@
 }
 
 rpc::Awaitable<void> ConnectionPool::write(ConnectionPtr connection, std::string bytes) {
+  const MemoryReservation reservation(options_.memory, MemoryUse::kEngineCalls, bytes.size());
   // Not awaited within the condition: GCC 12 destroys the coroutine frame incorrectly then.
   const bool written = co_await rpc::write_all(*connection->stream, std::move(bytes));
   if (!written) connection->stream->close();  // run_connection() then reads the end of the stream
--- a/src/platform/engine_client/connection_pool.h
+++ b/src/platform/engine_client/connection_pool.h
@@ -18,6 +18,7 @@
 #include "platform/engine_client/engine_call_log.h"
 #include "platform/engine_client/engine_client_counters.h"
 #include "platform/engine_client/engine_connections.h"
+#include "platform/memory_budget.h"
 #include "rpc/byte_stream.h"
 #include "workload/types.h"
 
@@ -39,6 +40,7 @@
   TimeUs dial_timeout_us = 0;
   /// Engines close connections that are idle for this long. The pool closes them after 60% of it.
   TimeUs engine_idle_timeout_us = 0;
+  std::shared_ptr<MemoryBudget> memory{};  // counts the calls that are being written; null: not counted
 };
 
 /// Maintains a limited number of connections to each engine, with one pending call per connection. Calls wait
--- a/src/platform/engine_client/engine_client.cpp
+++ b/src/platform/engine_client/engine_client.cpp
@@ -16,6 +16,7 @@
   out.budget = options.budget;
   out.dial_timeout_us = options.dial_timeout_us;
   out.engine_idle_timeout_us = options.engine_idle_timeout_us;
+  out.memory = options.memory;
   return out;
 }
 
--- a/src/platform/engine_client/engine_client.h
+++ b/src/platform/engine_client/engine_client.h
@@ -22,6 +22,7 @@
 #include "platform/engine_client/engine_call_log.h"
 #include "platform/engine_client/engine_client_counters.h"
 #include "platform/engine_client/orphaned_attempts.h"
+#include "platform/memory_budget.h"
 #include "rpc/byte_stream.h"
 
 namespace sablelink::platform {
@@ -30,6 +31,7 @@
   DescriptorBudget budget;
   TimeUs dial_timeout_us = 250'000;
   TimeUs engine_idle_timeout_us = 15'000'000;  // engines close connections that are idle for this long
+  std::shared_ptr<MemoryBudget> memory{};      // counts the calls that are being written; null: not counted
   bool hedging_allowed = false;                // whether attempts of one request may overlap
   std::vector<std::string> class_names;        // the platform's names of the workload classes, by class index
 };
--- a/src/platform/http_connection.cpp
+++ b/src/platform/http_connection.cpp
@@ -42,6 +42,19 @@
   return limits;
 }
 
+// Returns a statement that counts as `bytes` of the budget for as long as it exists.
+std::shared_ptr<dispatch::Statement> make_counted_statement(const std::shared_ptr<MemoryBudget>& memory,
+                                                            size_t bytes) {
+  struct CountedStatement {
+    CountedStatement(const std::shared_ptr<MemoryBudget>& budget, size_t size)
+        : reservation(budget, MemoryUse::kStatements, size) {}
+    MemoryReservation reservation;
+    dispatch::Statement statement;
+  };
+  const auto counted = std::make_shared<CountedStatement>(memory, bytes);
+  return {counted, &counted->statement};
+}
+
 // Collects the result rows of a request for its connection, which may be destroyed before completion.
 class HttpResponseSink : public dispatch::ResponseSink {
  public:
@@ -69,6 +82,8 @@
       server_(std::move(server)),
       stream_(std::move(stream)),
       reader_(message_limits(context.options)),
+      buffer_reservation_(context.memory, MemoryUse::kRequestBuffers),
+      response_reservation_(context.memory, MemoryUse::kResponses),
       stage_started_at_(context.clock.now()) {}
 
 // ---- Reading
@@ -100,12 +115,14 @@
       if (reader_.is_at_message_start() && request_count_ > 0) stage_started_at_ = now;
       arrival_times_.record(bytes.size(), now);
       parse_status_ = reader_.feed(bytes);
+      update_buffer_reservation();
       process_next_request();
       return;
     case Stage::kAwaitingResult:
     case Stage::kWritingResponse:
       arrival_times_.record(bytes.size(), now);
       reader_.feed(bytes);
+      update_buffer_reservation();
       return;
     case Stage::kHalfClosed:
       ignored_bytes_ += bytes.size();
@@ -131,6 +148,7 @@
       return;
     case http::ParseStatus::kComplete: {
       http::Request request = reader_.take_message();
+      update_buffer_reservation();
       parse_status_ = http::ParseStatus::kNeedMore;
       process_request(std::move(request));
       return;
@@ -172,7 +190,8 @@
 }
 
 void HttpConnection::submit(ClientRequest client_request, http::Request request) {
-  const auto statement = std::make_shared<dispatch::Statement>();
+  const std::shared_ptr<dispatch::Statement> statement =
+      make_counted_statement(context_.memory, request.body.size());
   statement->text = std::move(request.body);
   statement->client_tag = client_request.id;
   statement->idempotency_key = std::move(client_request.idempotency_key);
@@ -228,15 +247,16 @@
   if (context_.is_draining && reader_.buffered_bytes() == 0 && !stream_->readable()) keep_alive = false;
   keep_alive = keep_alive && !rejects_requests_;
   enter_stage(Stage::kWritingResponse);
-  boost::asio::co_spawn(
-      context_.executor,
-      write(shared_from_this(), http::serialize_response(status, fields, body, keep_alive), keep_alive),
-      boost::asio::detached);
+  std::string bytes = http::serialize_response(status, fields, body, keep_alive);
+  response_reservation_.resize(bytes.size());
+  boost::asio::co_spawn(context_.executor, write(shared_from_this(), std::move(bytes), keep_alive),
+                        boost::asio::detached);
 }
 
 rpc::Awaitable<void> HttpConnection::write(std::shared_ptr<HttpConnection> self, std::string bytes,
                                            bool keep_alive) {
   const bool written = co_await rpc::write_all(*self->stream_, std::move(bytes));
+  self->response_reservation_.resize(0);
   if (!self->server_ || self->stage_ != Stage::kWritingResponse) co_return;
   if (!written) {
     self->close();
--- a/src/platform/http_connection.h
+++ b/src/platform/http_connection.h
@@ -13,6 +13,7 @@
 #include "platform/arrival_times.h"
 #include "platform/client_request.h"
 #include "platform/http_server_context.h"
+#include "platform/memory_budget.h"
 #include "rpc/byte_stream.h"
 
 namespace sablelink::platform {
@@ -70,6 +71,8 @@
   static rpc::Awaitable<void> write(std::shared_ptr<HttpConnection> self, std::string bytes, bool keep_alive);
 
   void on_bytes(std::string_view bytes);
+  // Updates the reserved bytes to those that the reader stores.
+  void update_buffer_reservation() { buffer_reservation_.resize(reader_.stored_bytes()); }
   void process_next_request();
   void process_request(http::Request request);
   void submit(ClientRequest client_request, http::Request request);
@@ -88,6 +91,8 @@
   const WeakPtr<HttpServer> server_;
   const std::shared_ptr<rpc::ByteStream> stream_;
   http::RequestReader reader_;
+  MemoryReservation buffer_reservation_;
+  MemoryReservation response_reservation_;  // of the response that is being written
   http::ParseStatus parse_status_ = http::ParseStatus::kNeedMore;
   Stage stage_ = Stage::kReadingRequest;
   TimeUs stage_started_at_;  // in kReadingRequest: start of the connection or arrival of the request's first
--- a/src/platform/http_server.cpp
+++ b/src/platform/http_server.cpp
@@ -9,9 +9,9 @@
 
 }  // namespace
 
-HttpServer::HttpServer(HttpServerOptions options, dispatch::RequestDispatcher& dispatcher,
-                       rpc::Dialer& dialer, Clock& clock)
-    : context_{std::move(options), dispatcher, dialer.executor(), clock} {
+HttpServer::HttpServer(HttpServerOptions options, std::shared_ptr<MemoryBudget> memory,
+                       dispatch::RequestDispatcher& dispatcher, rpc::Dialer& dialer, Clock& clock)
+    : context_{std::move(options), dispatcher, dialer.executor(), clock, std::move(memory)} {
   schedule_timeout_check();
 }
 
--- a/src/platform/http_server.h
+++ b/src/platform/http_server.h
@@ -24,9 +24,10 @@
 ///   3. The owner waits for is_idle(), for a limited time.
 class HttpServer {
  public:
-  /// The references must outlive the server. The server runs on the dialer's strand.
-  HttpServer(HttpServerOptions options, dispatch::RequestDispatcher& dispatcher, rpc::Dialer& dialer,
-             Clock& clock);
+  /// The references must outlive the server. The server runs on the dialer's strand. `memory` counts the
+  /// bytes of requests and responses; it may be shared with other parts of the gateway.
+  HttpServer(HttpServerOptions options, std::shared_ptr<MemoryBudget> memory,
+             dispatch::RequestDispatcher& dispatcher, rpc::Dialer& dialer, Clock& clock);
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
   ~HttpServer();
--- a/src/platform/http_server_context.h
+++ b/src/platform/http_server_context.h
@@ -3,12 +3,14 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <unordered_set>
 
 #include "base/clock.h"
 #include "dispatch/request_dispatcher.h"
 #include "platform/http_server_options.h"
+#include "platform/memory_budget.h"
 
 namespace sablelink::platform {
 
@@ -30,6 +32,7 @@
   dispatch::RequestDispatcher& dispatcher;
   const boost::asio::any_io_executor executor;
   Clock& clock;
+  const std::shared_ptr<MemoryBudget> memory;
   HttpServerCounters counters{};
   std::unordered_set<std::string> open_request_ids{};  // chosen by clients; of requests in progress
   bool is_draining = false;                            // connections are closed after their responses
--- a/src/service/platform_service.cpp
+++ b/src/service/platform_service.cpp
@@ -12,11 +12,17 @@
 
 constexpr TimeUs kIdlePollIntervalUs = 10'000;
 constexpr size_t kResponseMemoryDivisor = 8;  // responses may use one part in so many of the memory limit
+constexpr size_t kRequestMemoryDivisor = 8;   // the same for requests
+constexpr TimeUs kMemoryCheckIntervalUs = 100'000;
+constexpr size_t kLoggedMemoryStepBytes = 1 << 20;
+constexpr size_t kBytesPerKb = 1024;
 
 platform::EngineClientOptions engine_client_options(const platform::PlatformConfig& config,
-                                                    const platform::DescriptorBudget& budget) {
+                                                    const platform::DescriptorBudget& budget,
+                                                    std::shared_ptr<platform::MemoryBudget> memory) {
   platform::EngineClientOptions options;
   options.budget = budget;
+  options.memory = std::move(memory);
   options.dial_timeout_us = config.dial_timeout_us;
   options.engine_idle_timeout_us = config.engine_idle_timeout_us;
   options.hedging_allowed = config.settings.hedging_allowed;
@@ -50,26 +56,29 @@
     : config_(std::move(config)),
       log_(make_json_log("gateway", log_level)),
       loop_(system.wall, system.steady),
+      request_memory_(
+          std::make_shared<platform::MemoryBudget>((config_.memory_mb << 20) / kRequestMemoryDivisor)),
       network_(std::make_unique<rpc::TcpTransport>(loop_)) {
   const platform::DescriptorBudget budget = platform::DescriptorBudget::from_limit(config_.max_descriptors);
   endpoint_source_ = std::make_unique<RegistryEndpointSource>(
       endpoint_registry_,
       [this](std::function<void()> callback) { loop_.call_after(0, std::move(callback)); });
-  engine_client_ = std::make_unique<platform::EngineClient>(engine_client_options(config_, budget), *network_,
-                                                            loop_, endpoint_registry_, *log_);
+  engine_client_ = std::make_unique<platform::EngineClient>(
+      engine_client_options(config_, budget, request_memory_), *network_, loop_, endpoint_registry_, *log_);
   dispatcher_ = std::make_unique<dispatch::RequestDispatcher>(config_.settings, config_.seed,
                                                               dispatcher_limits(config_), loop_,
                                                               *engine_client_, *endpoint_source_, *log_);
   endpoint_source_->set_dispatcher(dispatcher_.get());
   engine_client_->set_dispatcher(dispatcher_.get());
-  http_server_ = std::make_unique<platform::HttpServer>(http_server_options(config_, budget), *dispatcher_,
-                                                        *network_, loop_);
+  http_server_ = std::make_unique<platform::HttpServer>(http_server_options(config_, budget), request_memory_,
+                                                        *dispatcher_, *network_, loop_);
   endpoint_watcher_ = std::make_unique<platform::EndpointWatcher>(
       *network_, loop_, *log_,
       [this](const std::vector<config::EngineConfig>& engines) { on_endpoints_changed(engines); });
   loop_.post([this] {
     dispatcher_->start();
     endpoint_watcher_->start(config_);
+    log_memory_peak();
   });
   port_ = network_->listen(config_.listen_address, [this](std::shared_ptr<rpc::ByteStream> stream) {
     return http_server_->serve(std::move(stream));
@@ -139,6 +148,24 @@
 
 bool PlatformService::is_idle() const { return dispatcher_->open_requests() == 0 && http_server_->is_idle(); }
 
+void PlatformService::log_memory_peak() {
+  if (!http_server_) return;
+  loop_.call_after(kMemoryCheckIntervalUs, [this] { log_memory_peak(); });
+  if (request_memory_->peak_bytes() < logged_memory_peak_bytes_ + kLoggedMemoryStepBytes) return;
+  logged_memory_peak_bytes_ = request_memory_->peak_bytes();
+  const auto used_kb = [this](platform::MemoryUse use) {
+    return std::to_string(request_memory_->used_bytes(use) / kBytesPerKb);
+  };
+  log_->info("request_memory", {{"peak_kb", std::to_string(request_memory_->peak_bytes() / kBytesPerKb)},
+                                {"limit_kb", std::to_string(request_memory_->limit_bytes() / kBytesPerKb)},
+                                {"buffers_kb", used_kb(platform::MemoryUse::kRequestBuffers)},
+                                {"statements_kb", used_kb(platform::MemoryUse::kStatements)},
+                                {"engine_calls_kb", used_kb(platform::MemoryUse::kEngineCalls)},
+                                {"responses_kb", used_kb(platform::MemoryUse::kResponses)},
+                                {"connections", std::to_string(http_server_->connection_count())},
+                                {"open_requests", std::to_string(dispatcher_->open_requests())}});
+}
+
 void PlatformService::log_totals() {
   const dispatch::DispatcherCounters& requests = dispatcher_->counters();
   const platform::HttpServerCounters& clients = http_server_->counters();
@@ -152,6 +179,7 @@
               {"client_connections", std::to_string(clients.accepted_connections)},
               {"malformed_requests", std::to_string(clients.invalid_requests + clients.malformed_requests)},
               {"client_connections_rejected", std::to_string(clients.rejected_at_capacity)},
+              {"request_memory_peak_kb", std::to_string(request_memory_->peak_bytes() / kBytesPerKb)},
               {"engine_connections", std::to_string(engines.dials)},
               {"engine_dials_refused", std::to_string(engines.dials_refused)},
               {"engine_dials_failed", std::to_string(engines.dials_failed)},
--- a/src/service/platform_service.h
+++ b/src/service/platform_service.h
@@ -13,6 +13,7 @@
 #include "platform/endpoints/endpoint_watcher.h"
 #include "platform/engine_client/engine_client.h"
 #include "platform/http_server.h"
+#include "platform/memory_budget.h"
 #include "rpc/asio_loop.h"
 #include "rpc/tcp_transport.h"
 #include "service/registry_endpoint_source.h"
@@ -54,10 +55,14 @@
   void exit_when_idle();
   bool is_idle() const;
   void log_totals();
+  // Logs the memory that requests use whenever its peak has grown by a further step.
+  void log_memory_peak();
 
   const platform::PlatformConfig config_;
   std::unique_ptr<Log> log_;
   rpc::AsioLoop loop_;
+  const std::shared_ptr<platform::MemoryBudget> request_memory_;
+  size_t logged_memory_peak_bytes_ = 0;
   std::unique_ptr<rpc::TcpTransport> network_;
   membership::EndpointRegistry endpoint_registry_;
   std::unique_ptr<RegistryEndpointSource> endpoint_source_;
--- a/tests/platform/http_server_race_test.cpp
+++ b/tests/platform/http_server_race_test.cpp
@@ -116,7 +116,8 @@
     server_options.class_names = engine_options.class_names;
     server_options.max_timeout_us = {5 * kSecond, 15 * kSecond};
     server_options.max_connections = connections;
-    http_server_ = std::make_unique<platform::HttpServer>(server_options, *dispatcher_, *network_, loop_);
+    http_server_ = std::make_unique<platform::HttpServer>(
+        server_options, std::make_shared<platform::MemoryBudget>(4 << 20), *dispatcher_, *network_, loop_);
     gateway_port_ = network_->listen("127.0.0.1:0",
                                      [this](auto stream) { return http_server_->serve(std::move(stream)); });
     dispatcher_->start();
--- a/tests/platform/platform_harness.h
+++ b/tests/platform/platform_harness.h
@@ -196,8 +196,8 @@
 class PlatformFixture {
  public:
   explicit PlatformFixture(size_t max_client_connections = 20, size_t max_engine_connections = 40,
-                           uint64_t seed = 7)
-      : world_(seed, event_log_) {
+                           uint64_t seed = 7, size_t request_memory_bytes = 4 << 20)
+      : world_(seed, event_log_), memory_(std::make_shared<platform::MemoryBudget>(request_memory_bytes)) {
     settings_.max_attempts = 6;
     options_.class_names = {"lookup", "report"};
     options_.tenant_names = {"north", "south"};
@@ -207,12 +207,13 @@
     platform::EngineClientOptions engine_options;
     engine_options.budget.engines = max_engine_connections;
     engine_options.class_names = options_.class_names;
+    engine_options.memory = memory_;
     engine_client_ =
         std::make_unique<platform::EngineClient>(engine_options, dialer_, *actor_, endpoint_registry_, log_);
     dispatcher_ = std::make_unique<dispatch::RequestDispatcher>(
         settings_, 7, dispatch::DispatcherLimits{}, *actor_, *engine_client_, endpoint_source_, log_);
     engine_client_->set_dispatcher(dispatcher_.get());
-    http_server_ = std::make_unique<platform::HttpServer>(options_, *dispatcher_, dialer_, *actor_);
+    http_server_ = std::make_unique<platform::HttpServer>(options_, memory_, *dispatcher_, dialer_, *actor_);
     streams_.listen("gateway", actor_,
                     [this](auto stream) { return http_server_->serve(std::move(stream)); });
     dispatcher_->start();
@@ -290,6 +291,7 @@
   sim::World& world() { return world_; }
   sim::Streams& streams() { return streams_; }
   platform::EngineClient& engine_client() { return *engine_client_; }
+  const platform::MemoryBudget& memory() const { return *memory_; }
   platform::HttpServer& http_server() { return *http_server_; }
   dispatch::RequestDispatcher& dispatcher() { return *dispatcher_; }
   const CountingLog& log() const { return log_; }
@@ -334,6 +336,7 @@
   std::shared_ptr<sim::Actor> actor_ = sim::Actor::make(world_, "gateway");
   std::shared_ptr<sim::Actor> client_ = sim::Actor::make(world_, "client");
   SimulatedDialer dialer_{world_, streams_, actor_};
+  const std::shared_ptr<platform::MemoryBudget> memory_;
   CountingLog log_;
   StaticEndpointSource endpoint_source_;
   Settings settings_ = plain_settings();
