Fix memory of client requests that no limit covered

Cause: only descriptors limited requests. A connection held an open statement and the next request whole, bodies grew by doubling (130,472 bytes for 65,400), and finished attempts held their statements.

Evidence: request_memory before the fix, 12,554 kB counted at the peak, most of it received behind open requests, of 33,088 kB resident.

Over it, a request is read no further than 4 KiB until others end and is answered 503 after 1 s; parsed bytes count for the pause behind an open request; bodies grow to their length at most; a finished attempt frees its statement; clients that have left while reading is paused are looked for when connections run short. Why it works: whatever is over 4 KiB on a connection now waits in the kernel.

Tests: four that failed before: 2,912,558 bytes counted of at most 1,015,808; 60,001 bytes left after a client went; capacity 130,472; 36,404 kB resident of 32 MB. The last one is 14,592 kB now.

--- a/src/http/reader.cpp
+++ b/src/http/reader.cpp
@@ -68,7 +68,7 @@
   buffer_ += bytes;
   if (status_ == ParseStatus::kComplete) return status_;
   while (parse_element()) continue;
-  if (parsed_bytes_ > kDiscardThresholdBytes) discard_parsed_bytes();
+  if (!has_buffered_bytes() || parsed_bytes_ > kDiscardThresholdBytes) discard_parsed_bytes();
   return status_;
 }
 
@@ -89,7 +89,6 @@
 
 void MessageReader::start_next_message() {
   discard_parsed_bytes();
-  if (buffer_.empty()) buffer_.shrink_to_fit();
   searched_bytes_ = 0;
   request_ = {};
   response_ = {};
@@ -106,6 +105,7 @@
 
 void MessageReader::discard_parsed_bytes() {
   buffer_.erase(0, parsed_bytes_);
+  if (buffer_.empty()) buffer_.shrink_to_fit();
   searched_bytes_ -= std::min(searched_bytes_, parsed_bytes_);
   parsed_bytes_ = 0;
 }
@@ -118,12 +118,18 @@
 bool MessageReader::fail(int status, const char* error) {
   error_status_ = status;
   error_ = error;
+  discard();
+  return false;
+}
+
+void MessageReader::discard() {
   buffer_.clear();
   buffer_.shrink_to_fit();
   parsed_bytes_ = 0;
   searched_bytes_ = 0;
+  request_ = {};
+  response_ = {};
   status_ = ParseStatus::kMalformed;
-  return false;
 }
 
 // ---- Start line and fields
@@ -283,9 +289,24 @@
 
 // ---- Content
 
+// Grows the body's storage by doubling, but no further than to the longest possible content.
+void MessageReader::append_to_body(std::string_view content) {
+  std::string& stored = body();
+  const size_t needed = stored.size() + content.size();
+  const size_t longest =
+      part_ == Part::kContent ? stored.size() + remaining_content_bytes_ : limits_.max_body_bytes;
+  if (needed > stored.capacity()) {
+    std::string larger;  // reserve() of a string that has storage may double it
+    larger.reserve(std::clamp(2 * stored.capacity(), needed, longest));
+    larger += stored;
+    stored = std::move(larger);
+  }
+  stored += content;
+}
+
 bool MessageReader::parse_content() {
   const std::string_view content = unparsed().substr(0, remaining_content_bytes_);
-  body() += content;
+  append_to_body(content);
   remaining_content_bytes_ -= content.size();
   consume(content.size());
   if (remaining_content_bytes_ > 0) return false;
@@ -326,7 +347,7 @@
 
 bool MessageReader::parse_content_until_close() {
   if (body().size() + buffered_bytes() > limits_.max_body_bytes) return fail(413, "the content is too long");
-  body() += unparsed();
+  append_to_body(unparsed());
   consume(buffered_bytes());
   return false;
 }
--- a/src/http/reader.h
+++ b/src/http/reader.h
@@ -49,6 +49,7 @@
   ParseStatus feed(std::string_view bytes);
   ParseStatus finish();
   void start_next_message();
+  void discard();
 
   Request request_;
   Response response_;
@@ -74,6 +75,7 @@
   bool parse_status_line(std::string_view line);
   bool parse_field(std::string_view line);
   bool parse_content();
+  void append_to_body(std::string_view content);
   bool parse_chunk_size();
   bool parse_chunk_end();
   bool parse_content_until_close();
@@ -120,6 +122,8 @@
   ParseStatus feed(std::string_view bytes) { return MessageReader::feed(bytes); }
   /// After kComplete: returns the message and starts the next one. feed({}) parses the bytes buffered for it.
   Request take_message();
+  /// Frees all stored bytes. From then on, feed() ignores its bytes and returns kMalformed.
+  void discard() { MessageReader::discard(); }
 };
 
 class ResponseReader : public MessageReader {
--- a/src/platform/connection_admission.cpp
+++ b/src/platform/connection_admission.cpp
@@ -13,6 +13,7 @@
 AdmissionDecision ConnectionAdmission::decide() {
   const size_t limit = context_.options.max_connections;
   const size_t regular_limit = limit - limit / kReservedDivisor;
+  if (connections_.size() >= regular_limit) remove_disconnected();
   const bool has_capacity = connections_.size() < regular_limit || evict_connection();
   if (connections_.size() >= limit) {
     ++context_.counters.rejected_at_capacity;
@@ -21,6 +22,13 @@
   return has_capacity ? AdmissionDecision::kServe : AdmissionDecision::kRejectRequests;
 }
 
+void ConnectionAdmission::remove_disconnected() {
+  // A copy, since closing a connection may change the list.
+  const ConnectionList connections = connections_;
+  for (const auto& connection : connections) connection->close_if_disconnected();
+  connections_.remove_if([](const auto& connection) { return connection->is_closed(); });
+}
+
 bool ConnectionAdmission::evict_connection() {
   const TimeUs now = context_.clock.now();
   Skipped skipped;  // connections with unread bytes, which may be a request
--- a/src/platform/connection_admission.h
+++ b/src/platform/connection_admission.h
@@ -37,6 +37,8 @@
  private:
   using Skipped = std::vector<std::shared_ptr<HttpConnection>>;
 
+  // Closes the connections whose clients have disconnected unnoticed.
+  void remove_disconnected();
   // Evicts a connection. Returns false if none can be evicted.
   bool evict_connection();
   // Returns the connection with the highest eviction rank that is not in `skipped`; of several, the one that
--- a/src/platform/engine_client/engine_attempt.cpp
+++ b/src/platform/engine_client/engine_attempt.cpp
@@ -20,6 +20,7 @@
     : id_(id),
       engine_(engine),
       spec_(std::move(spec)),
+      client_tag_(spec_.statement->client_tag),
       created_at_(now),
       unknown_poll_backoff_(kMinBackoffUs, kMaxBackoffUs),
       cancel_backoff_(kMinBackoffUs, kMaxBackoffUs) {}
@@ -121,6 +122,12 @@
   return result;
 }
 
+void EngineAttempt::finish() {
+  finished_ = true;
+  spec_.statement.reset();
+  page_rows_.clear();
+}
+
 bool EngineAttempt::is_start_settled(TimeUs now) const {
   switch (start_delivery_) {
     case StartDelivery::kNotSent:
--- a/src/platform/engine_client/engine_attempt.h
+++ b/src/platform/engine_client/engine_attempt.h
@@ -49,9 +49,10 @@
   const dispatch::AttemptId& id() const { return id_; }
   EngineId engine() const { return engine_; }
   TimeUs created_at() const { return created_at_; }
+  /// Without its statement once the attempt is finished.
   const dispatch::AttemptSpec& spec() const { return spec_; }
   /// The client's id of the request, which identifies the request's attempts to engines.
-  const std::string& client_tag() const { return spec_.statement->client_tag; }
+  const std::string& client_tag() const { return client_tag_; }
   /// The part of the attempt's timeout that remains at `now`; may be negative.
   TimeUs remaining_us(TimeUs now) const { return spec_.remaining_us - (now - created_at_); }
   /// Whether the decision to start the attempt is still valid.
@@ -80,8 +81,8 @@
   /// The rows of all pages as JSON. Requires completion with Outcome::kOk.
   std::string joined_rows() const;
 
-  /// Marks the attempt as finished; the owner ignores later responses.
-  void finish() { finished_ = true; }
+  /// Marks the attempt as finished and frees its statement and rows; the owner ignores later responses.
+  void finish();
   bool is_finished() const { return finished_; }
   /// The result to report for an attempt that ends with `outcome`.
   dispatch::AttemptResult result(Outcome outcome) const;
@@ -113,7 +114,8 @@
  private:
   const dispatch::AttemptId id_;
   const EngineId engine_;
-  const dispatch::AttemptSpec spec_;
+  dispatch::AttemptSpec spec_;
+  const std::string client_tag_;
   const TimeUs created_at_;
   TimeUs start_sent_at_ = 0;
   TimeUs last_call_at_ = 0;  // when the last start, poll or page request was sent; 0: none
--- a/src/platform/http_connection.cpp
+++ b/src/platform/http_connection.cpp
@@ -22,6 +22,8 @@
 constexpr size_t kMaxIgnoredBytes = 256 << 10;     // received after the half-close
 constexpr size_t kReadBytes = 8 << 10;
 constexpr size_t kMaxPipelinedBytes = 16 << 10;
+constexpr size_t kSmallRequestBytes = 4 << 10;  // always read: the number of connections limits their memory
+constexpr TimeUs kMaxMemoryWaitUs = 1'000'000;  // of a larger request, from its first byte
 constexpr TimeUs kNewConnectionGraceUs = 15'000;  // the first bytes arrive one round trip later
 constexpr TimeUs kStalledRequestUs = 1'000'000;   // from the request's first byte
 constexpr TimeUs kResponseDeliveryUs = 100'000;   // within which a client reads its response
@@ -104,8 +106,21 @@
 }
 
 bool HttpConnection::is_reading_paused() const {
-  return (stage_ == Stage::kAwaitingResult || stage_ == Stage::kWritingResponse) &&
-         reader_.buffered_bytes() > kMaxPipelinedBytes;
+  switch (stage_) {
+    case Stage::kReadingRequest:
+      return waits_for_memory();
+    case Stage::kAwaitingResult:
+    case Stage::kWritingResponse:
+      return reader_.stored_bytes() > kMaxPipelinedBytes || waits_for_memory();
+    case Stage::kHalfClosed:
+    case Stage::kClosed:
+      return false;
+  }
+  return false;
+}
+
+bool HttpConnection::waits_for_memory() const {
+  return context_.memory->is_exhausted() && reader_.stored_bytes() > kSmallRequestBytes;
 }
 
 void HttpConnection::on_bytes(std::string_view bytes) {
@@ -141,6 +156,7 @@
     case http::ParseStatus::kNeedMore:
       // All received bytes belong to one request, whose timeout starts at its last byte.
       arrival_times_.discard_all_but_newest();
+      has_waited_for_memory_ = has_waited_for_memory_ || waits_for_memory();
       return;
     case http::ParseStatus::kMalformed:
       ++context_.counters.malformed_requests;
@@ -202,8 +218,10 @@
   query.estimated_memory_mb = client_request.estimated_memory_mb;
   if (!statement->ordering_key.empty()) query.key = ordering_key_hash(statement->ordering_key);
   query.class_index = client_request.class_index;
-  const TimeUs arrived_at =
+  TimeUs arrived_at =
       arrival_times_.consume_until_pending(reader_.buffered_bytes()).value_or(context_.clock.now());
+  // While reading was paused, the last byte may have waited in the kernel.
+  if (std::exchange(has_waited_for_memory_, false)) arrived_at = std::min(arrived_at, stage_started_at_);
   query.deadline = arrived_at + client_request.timeout_us;
   query.table_group = sql::table_group(statement->text);
   query.is_client_retry = client_request.is_retry;
@@ -246,6 +264,7 @@
   // While draining, a connection closes only after the responses to all requests that have arrived on it.
   if (context_.is_draining && reader_.buffered_bytes() == 0 && !stream_->readable()) keep_alive = false;
   keep_alive = keep_alive && !rejects_requests_;
+  if (!keep_alive) discard_buffers();
   enter_stage(Stage::kWritingResponse);
   std::string bytes = http::serialize_response(status, fields, body, keep_alive);
   response_reservation_.resize(bytes.size());
@@ -279,6 +298,12 @@
   stage_started_at_ = context_.clock.now();
 }
 
+// Nothing more is read from a connection that closes after its response.
+void HttpConnection::discard_buffers() {
+  reader_.discard();
+  update_buffer_reservation();
+}
+
 void HttpConnection::half_close() {
   enter_stage(Stage::kHalfClosed);
   stream_->shutdown_write();
@@ -305,15 +330,23 @@
   context_.dispatcher.on_client_disconnected(id);
 }
 
+void HttpConnection::close_if_disconnected() {
+  // While reading is paused, only this check detects that the client has disconnected.
+  if (is_reading_paused() && stream_->peer_closed()) close();
+}
+
 void HttpConnection::enforce_timeouts(TimeUs now) {
+  close_if_disconnected();
+  if (!is_reading_paused()) reading_resumed_.set();
   const TimeUs elapsed_us = now - stage_started_at_;
   switch (stage_) {
     case Stage::kReadingRequest:
-      enforce_read_timeouts(elapsed_us);
+      if (waits_for_memory())
+        enforce_memory_wait(elapsed_us);
+      else
+        enforce_read_timeouts(elapsed_us);
       return;
     case Stage::kAwaitingResult:
-      // While reading is paused, only this check detects that the client has disconnected.
-      if (is_reading_paused() && stream_->peer_closed()) close();
       return;
     case Stage::kWritingResponse:
       if (elapsed_us > kWriteTimeoutUs) close();
@@ -326,6 +359,14 @@
   }
 }
 
+// A request that waits is answered before the listener's process ends: its last byte may be in the kernel.
+void HttpConnection::enforce_memory_wait(TimeUs elapsed_us) {
+  if (elapsed_us <= kMaxMemoryWaitUs && !context_.closes_idle_connections) return;
+  ++context_.counters.rejected_for_memory;
+  respond(503, json_content_type(), kRejectedBody, false);
+  reading_resumed_.set();
+}
+
 // A connection with unread bytes in the kernel stays open: they may be a request or a part of one.
 void HttpConnection::enforce_read_timeouts(TimeUs elapsed_us) {
   const bool is_idle = reader_.is_at_message_start();
--- a/src/platform/http_connection.h
+++ b/src/platform/http_connection.h
@@ -51,6 +51,9 @@
   /// Closes the connection or sends an error response if a timeout has expired.
   void enforce_timeouts(TimeUs now);
 
+  /// Closes the connection if its client has disconnected unnoticed because reading is paused.
+  void close_if_disconnected();
+
   /// Closes the connection immediately. A response that has just been sent can still be delivered.
   void abort();
 
@@ -60,6 +63,7 @@
   /// Sends the response to the open request. `json_rows` are the rows of its result as JSON.
   void on_request_completed(const std::string& json_rows, const dispatch::FinalResponse& result);
 
+  bool is_closed() const { return stage_ == Stage::kClosed; }
   EvictionRank eviction_rank(TimeUs now) const;
   TimeUs stage_started_at() const { return stage_started_at_; }
   bool has_unread_bytes() const { return stream_->readable(); }
@@ -80,12 +84,17 @@
   void respond_and_close(int status, const char* message) { respond(status, {}, message, false); }
   void respond_to_health_check(const http::Request& request);
   void enforce_read_timeouts(TimeUs elapsed_us);
+  void enforce_memory_wait(TimeUs elapsed_us);
+  void discard_buffers();
   void half_close();
   void close();
   void enter_stage(Stage stage);
   TimeUs idle_timeout_us() const;
-  // Whether too many bytes of pipelined requests are buffered to read more before the next response is sent.
+  // Whether nothing is read for now: too many bytes of pipelined requests are buffered to read more before
+  // the next response is sent, or the memory of requests is exhausted.
   bool is_reading_paused() const;
+  // Whether a request is read no further until requests use less memory.
+  bool waits_for_memory() const;
 
   HttpServerContext& context_;
   const WeakPtr<HttpServer> server_;
@@ -102,6 +111,7 @@
   ArrivalTimes arrival_times_;
   AsyncEvent reading_resumed_;
   bool rejects_requests_ = false;
+  bool has_waited_for_memory_ = false;   // the request that is being read
   bool keep_alive_ = true;               // requested by the client with the open request
   std::string client_request_id_;        // of the open request
   RequestId dispatcher_request_id_ = 0;  // of the open request; 0: none, or completed by the dispatcher
--- a/src/platform/http_server_context.h
+++ b/src/platform/http_server_context.h
@@ -23,6 +23,7 @@
   uint64_t invalid_requests = 0;      // HTTP, but not valid in the platform's protocol
   uint64_t request_timeouts = 0;      // connections without a complete request in time
   uint64_t evicted_connections = 0;   // closed in favour of a new connection
+  uint64_t rejected_for_memory = 0;   // requests rejected with 503 after waiting for memory
   uint64_t rejected_at_capacity = 0;  // requests rejected with 503 and connections closed unread
 };
 
--- a/src/service/platform_service.cpp
+++ b/src/service/platform_service.cpp
@@ -179,6 +179,7 @@
               {"client_connections", std::to_string(clients.accepted_connections)},
               {"malformed_requests", std::to_string(clients.invalid_requests + clients.malformed_requests)},
               {"client_connections_rejected", std::to_string(clients.rejected_at_capacity)},
+              {"client_requests_rejected_for_memory", std::to_string(clients.rejected_for_memory)},
               {"request_memory_peak_kb", std::to_string(request_memory_->peak_bytes() / kBytesPerKb)},
               {"engine_connections", std::to_string(engines.dials)},
               {"engine_dials_refused", std::to_string(engines.dials_refused)},
--- a/tests/http/reader_test.cpp
+++ b/tests/http/reader_test.cpp
@@ -32,6 +32,33 @@
   return out;
 }
 
+// Guards against content that takes twice its memory because its storage grows by doubling.
+TEST(HttpReader, ContentOfKnownLengthTakesNoMoreMemoryThanItsLength) {
+  constexpr size_t kLength = 65'400;
+  constexpr size_t kReadBytes = 8 << 10;
+  const std::string bytes =
+      serialize_request("POST", "/v1/report", "service.internal", {}, std::string(kLength, 'x'));
+  const ParseResult result = parse_request(bytes, kReadBytes);
+  ASSERT_EQ(result.status, ParseStatus::kComplete);
+  EXPECT_EQ(result.request.body.size(), kLength);
+  EXPECT_LT(result.request.body.capacity(), kLength + kReadBytes);
+}
+
+TEST(HttpReader, StoredBytesIncludeTheParsedPartOfTheMessage) {
+  RequestReader reader{MessageLimits{}};
+  const std::string bytes = serialize_request("POST", "/v1/report", "h", {}, std::string(20'000, 'x'));
+  reader.feed(std::string_view(bytes).substr(0, 15'000));
+  EXPECT_GE(reader.stored_bytes(), 14'900u);
+  EXPECT_LE(reader.stored_bytes(), 15'100u);
+  reader.feed(std::string_view(bytes).substr(15'000));
+  reader.take_message();
+  EXPECT_EQ(reader.stored_bytes(), 0u);
+  reader.feed(std::string_view(bytes).substr(0, 15'000));
+  reader.discard();
+  EXPECT_EQ(reader.stored_bytes(), 0u);
+  EXPECT_EQ(reader.feed(bytes), ParseStatus::kMalformed);
+}
+
 TEST(HttpReader, RequestInPiecesOfAnySizeIsParsed) {
   for (size_t piece_size = 1; piece_size <= kPost.size(); ++piece_size) {
     const ParseResult result = parse_request(kPost, piece_size);
--- a/tests/platform/http_server_test.cpp
+++ b/tests/platform/http_server_test.cpp
@@ -209,6 +209,74 @@
   EXPECT_EQ(fixture.dispatcher().counters().served, static_cast<uint64_t>(kRequests));
 }
 
+std::string statement_of_size(size_t bytes) {
+  std::string statement = "SELECT 1 FROM sales_17.orders WHERE id IN (1";
+  while (statement.size() < bytes) statement += ",1";
+  return statement + ")";
+}
+
+// Guards against a gateway that exceeds its memory limit because many clients send large statements at once:
+// further large ones are rejected, also those that wait behind another request, and small ones are served.
+TEST(HttpServer, MemoryOfLargeRequestsIsLimitedWhileSmallOnesAreServed) {
+  constexpr size_t kMemoryBytes = 256 << 10;
+  constexpr int kLargeClients = 20;
+  constexpr int kRequestsPerClient = 3;
+  // What a connection holds beyond the limit, each with a small request and one read: a statement and the
+  // next request behind it.
+  constexpr size_t kMaxExcessPerConnection = 2 * (12 << 10);
+  PlatformFixture fixture(60, 40, 7, kMemoryBytes);
+  ScriptedEngine& engine = fixture.add_engine();
+  engine.execution_time_us = 500 * kMs;
+  fixture.publish_endpoints();
+  const std::string statement = statement_of_size(60'000);
+  std::vector<std::shared_ptr<ClientResponse>> large_responses;
+  std::vector<std::shared_ptr<ClientResponse>> small_responses;
+  for (int client = 0; client < kLargeClients; ++client) {
+    std::string requests;
+    for (int i = 0; i < kRequestsPerClient; ++i)
+      requests +=
+          PlatformFixture::make_query(make_request_id(100 + client * kRequestsPerClient + i), statement);
+    large_responses.push_back(fixture.send(requests));
+  }
+  fixture.run_for(100 * kMs);
+  EXPECT_TRUE(fixture.memory().is_exhausted());
+  for (int i = 0; i < 5; ++i)
+    small_responses.push_back(fixture.send(PlatformFixture::make_query(make_request_id(i))));
+  fixture.run_for(5 * kSecond);
+  for (const auto& response : small_responses) EXPECT_EQ(response->status, 200);
+  size_t served = 0;
+  for (const auto& response : large_responses) {
+    EXPECT_TRUE(response->status == 200 || response->status == 503) << response->status;
+    served += response->status == 200;
+  }
+  EXPECT_GT(served, 0u);
+  EXPECT_LT(served, large_responses.size());
+  EXPECT_GT(fixture.http_server().counters().rejected_for_memory, 0u);
+  // An accepted statement is held a second time while it is sent to an engine.
+  EXPECT_LE(fixture.memory().peak_bytes(), 2 * kMemoryBytes + kLargeClients * kMaxExcessPerConnection);
+  fixture.run_for(10 * kSecond);
+  EXPECT_EQ(fixture.memory().used_bytes(), 0u);
+}
+
+// Guards against memory that clients leave behind: the statement of a request whose client has gone is freed,
+// although its engine does not answer the cancellation.
+TEST(HttpServer, StatementOfDisconnectedClientIsFreedBeforeItsAttemptHasEnded) {
+  PlatformFixture fixture;
+  ScriptedEngine& engine = fixture.add_engine();
+  engine.execution_time_us = 10 * kSecond;
+  engine.script = [](const ScriptedEngine::ReceivedRequest& received) -> std::optional<ScriptedResponse> {
+    if (received.request.method != "DELETE") return std::nullopt;
+    return ScriptedResponse{"", 0, false, true};
+  };
+  fixture.publish_endpoints();
+  fixture.send(PlatformFixture::make_query(make_request_id(1), statement_of_size(60'000)), 200 * kMs);
+  fixture.run_for(150 * kMs);
+  EXPECT_GT(fixture.memory().used_bytes(platform::MemoryUse::kStatements), 0u);
+  fixture.run_for(150 * kMs);
+  EXPECT_EQ(engine.request_count("DELETE"), 1u);
+  EXPECT_EQ(fixture.memory().used_bytes(), 0u);
+}
+
 TEST(HttpServer, OpenRequestReceivesItsResponseBeforeItsConnectionClosesForShutdown) {
   PlatformFixture fixture;
   ScriptedEngine& engine = fixture.add_engine();
--- a/tests/service/platform_process_test.cpp
+++ b/tests/service/platform_process_test.cpp
@@ -2,6 +2,7 @@
 // platform. Time limits are generous, as the tests check results and not their timing.
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <csignal>
@@ -10,6 +11,7 @@
 #include <fstream>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "badday/process.h"
 #include "base/async_event.h"
@@ -55,7 +57,8 @@
   void write_config(const std::string& changelog) {
     std::ofstream(directory_ / "config.json")
         << R"({"name":"n0","listen":")" << listen_ << R"(","seed":"8c1f30d27a5be964","limits":{"cores":1,)"
-        << R"("memory_mb":64,"sockets":256},"changelog":")" << changelog
+        << R"("memory_mb":)" << memory_mb_ << R"(,"sockets":)" << max_descriptors_ << R"(},"changelog":")"
+        << changelog
         << R"(","known":{"seq":1,"results":[{"seq":1,"fleet":{"whole":true,"hosts":[{"host":"s-1","dial":")"
         << engine_ << R"(","site":"east","class":"std","block":0,"health":"ready","share":1,"born_ms":0},)"
         << R"({"host":"s-2","dial":"no address","health":"ready"}]}}]},)"
@@ -112,12 +115,32 @@
     *status = -1;
     boost::asio::co_spawn(loop_.executor(), send_request(bytes, status), boost::asio::detached);
   }
-  static std::string statement_request(int number, const char* timeout_ms = "20000") {
+  static std::string large_statement(size_t bytes) {
+    std::string statement = "SELECT 1 FROM sales_1.orders WHERE id IN (1";
+    while (statement.size() < bytes) statement += ",1";
+    return statement + ")";
+  }
+  // Opens a connection of open_connections_ and sends the bytes on it, as far as the gateway reads.
+  rpc::Awaitable<void> send_and_keep_open(std::string bytes) {
+    const rpc::ConnectResult connected = co_await network_->connect(listen_, 5 * kSecond);
+    const StreamPtr stream = connected.stream;
+    if (!stream) co_return;
+    open_connections_.push_back(stream);
+    co_await rpc::write_all(*stream, std::move(bytes));
+  }
+  // The gateway's resident memory without pages of files, as the platform counts it.
+  size_t private_memory_kb() const {
+    std::ifstream status("/proc/" + std::to_string(process_->pid()) + "/status");
+    for (std::string line; std::getline(status, line);)
+      if (line.starts_with("RssAnon:")) return std::stoul(line.substr(sizeof("RssAnon:")));
+    return 0;
+  }
+  static std::string statement_request(int number, const char* timeout_ms = "20000",
+                                       const std::string& statement = "SELECT 1 FROM sales_1.orders") {
     char id[sizeof("0123456789abcdef")];
     std::snprintf(id, sizeof(id), "%016x", number);
     return http::serialize_request("POST", "/v1/lookup", "h",
-                                   {{"X-Request-Id", id}, {"X-Timeout-Ms", timeout_ms}},
-                                   "SELECT 1 FROM sales_1.orders");
+                                   {{"X-Request-Id", id}, {"X-Timeout-Ms", timeout_ms}}, statement);
   }
   // Runs the loop until the condition is true; returns false if it isn't within 30 s.
   bool run_until(const std::function<bool()>& condition) {
@@ -149,6 +172,8 @@
   std::string engine_;  // addresses of the test's own servers
   std::string old_changelog_;
   std::string new_changelog_;
+  size_t memory_mb_ = 64;
+  size_t max_descriptors_ = 256;
   TimeUs service_time_us_ = 0;
   TimeUs request_timeout_us_ = 20 * kSecond;
   bool engine_hangs_ = false;  // the engine reads calls but never responds
@@ -156,6 +181,7 @@
   int open_watch_count_ = 0;
   bool is_stopping_ = false;
   std::vector<std::string> watch_requests_;
+  std::vector<StreamPtr> open_connections_;
   std::unique_ptr<badday::Process> process_;
 };
 
@@ -218,6 +244,44 @@
   EXPECT_EQ(status, 0);
 }
 
+// Guards against a gateway that is killed for memory because clients send large statements at full speed,
+// several at once, and go.
+TEST_F(PlatformProcess, ClientsWithLargeStatements_DoNotExceedTheMemoryLimit) {
+  constexpr int kClients = 160;
+  constexpr int kRounds = 8;
+  constexpr int kRequestsPerConnection = 3;
+  constexpr size_t kStatementBytes = 65'400;
+  memory_mb_ = 32;
+  max_descriptors_ = 512;
+  service_time_us_ = kSecond;
+  write_config(old_changelog_);
+  start();
+  size_t peak_kb = 0;
+  int request_number = 0;
+  for (int round = 0; round < kRounds; ++round) {
+    for (int client = 0; client < kClients; ++client) {
+      std::string requests;
+      for (int i = 0; i < kRequestsPerConnection; ++i)
+        requests += statement_request(++request_number, "15000", large_statement(kStatementBytes));
+      boost::asio::co_spawn(loop_.executor(), send_and_keep_open(std::move(requests)), boost::asio::detached);
+    }
+    const TimeUs round_ends_at = loop_.now() + kSecond / 2;
+    run_until([&] {
+      peak_kb = std::max(peak_kb, private_memory_kb());
+      return loop_.now() >= round_ends_at;
+    });
+    for (const StreamPtr& connection : open_connections_) connection->reset();
+    open_connections_.clear();
+  }
+  EXPECT_GT(peak_kb, 0u);
+  EXPECT_LT(peak_kb, memory_mb_ * 1024);
+  int small = -1;
+  service_time_us_ = 0;
+  start_request(statement_request(++request_number), &small);
+  EXPECT_TRUE(run_until([&] { return small >= 0; }));
+  EXPECT_EQ(small, 200);
+}
+
 TEST_F(PlatformProcess, UnreadableConfiguration_ExitsWithStatus1) {
   std::ofstream(directory_ / "config.json") << "{\"name\":7}";
   process_ = std::make_unique<badday::Process>(
