Platform: count and log bytes behind the responses of engines

Cause: a response with a wrong content length and one with noise behind it look the same in the log, and like a good one.

--- a/src/platform/engine_client/connection_pool.cpp
+++ b/src/platform/engine_client/connection_pool.cpp
@@ -266,6 +266,11 @@
   const bool ended = bytes->empty();
   const http::ParseStatus state = ended ? connection->reader.finish() : connection->reader.feed(*bytes);
   if (state == http::ParseStatus::kComplete) {
+    if (connection->reader.has_buffered_bytes()) {
+      ++counters_.trailing_bytes;
+      log_.trailing_bytes({*connection->pending_call, engine->address, connection->number},
+                          connection->reader.buffered_bytes());
+    }
     const bool reusable =
         !ended && !connection->reader.has_buffered_bytes() && connection->reader.response().keep_alive;
     on_response_complete(engine, connection, reusable);
--- a/src/platform/engine_client/engine_call_log.cpp
+++ b/src/platform/engine_client/engine_call_log.cpp
@@ -41,6 +41,10 @@
   write_call("engine_call_completed", sent, "status", std::to_string(status));
 }
 
+void EngineCallLog::trailing_bytes(const SentCall& sent, size_t bytes) const {
+  write_call("engine_trailing_bytes", sent, "bytes", std::to_string(bytes));
+}
+
 void EngineCallLog::call_interrupted(const SentCall& sent, std::string_view reason) const {
   write_call("engine_call_interrupted", sent, "reason", reason);
 }
--- a/src/platform/engine_client/engine_call_log.h
+++ b/src/platform/engine_client/engine_call_log.h
@@ -28,6 +28,8 @@
 
   void call_sent(const SentCall& sent) const;
   void call_completed(const SentCall& sent, int status) const;
+  /// Bytes were received behind the content of the call's response.
+  void trailing_bytes(const SentCall& sent, size_t bytes) const;
   /// The call ended without a response. The reason is "timeout" or "connection_lost".
   void call_interrupted(const SentCall& sent, std::string_view reason) const;
 
--- a/src/platform/engine_client/engine_client_counters.h
+++ b/src/platform/engine_client/engine_client_counters.h
@@ -13,6 +13,7 @@
   uint64_t calls_sent = 0;           // HTTP requests
   uint64_t calls_interrupted = 0;    // the connection was lost before a complete response
   uint64_t calls_timed_out = 0;      // also included in calls_interrupted
+  uint64_t trailing_bytes = 0;       // responses with bytes behind their content
   uint64_t malformed_responses = 0;  // not valid HTTP, or not valid in the platform's protocol
   uint64_t attempts_delayed = 0;     // delayed until an orphaned attempt of the same request ended
   uint64_t attempts_released = 0;    // those of `attempts_delayed` that were then sent
--- a/tests/platform/engine_client/engine_call_log_test.cpp
+++ b/tests/platform/engine_client/engine_call_log_test.cpp
@@ -32,11 +32,13 @@
   const std::string address = "10.0.0.1:10080";
   call_log.call_sent({call, address, 5});
   call_log.call_interrupted({call, address, 5}, "timeout");
+  call_log.trailing_bytes({call, address, 5}, 12);
   call_log.attempt_released(*attempt);
   const std::string attempt_fields = " tag=9b1f03aa5c7e2d41 request=7 attempt=1";
   const std::string call_fields = attempt_fields + " call=start engine=10.0.0.1:10080 connection=5";
   EXPECT_EQ(log.lines, (std::vector<std::string>{"engine_call_sent" + call_fields + " page=0",
                                                  "engine_call_interrupted" + call_fields + " reason=timeout",
+                                                 "engine_trailing_bytes" + call_fields + " bytes=12",
                                                  "attempt_released" + attempt_fields}));
 }
 
