Test that requests which wait for memory are rejected at a shutdown

A request that waits for memory may have its last byte in the kernel, so it counts as taken. It gets its 503 as idle connections are closed, and otherwise a second after its first byte. Passes as it is.

--- a/tests/platform/http_server_test.cpp
+++ b/tests/platform/http_server_test.cpp
@@ -258,6 +258,37 @@
   EXPECT_EQ(fixture.memory().used_bytes(), 0u);
 }
 
+// Guards against requests that get no final answer at a shutdown because they wait for memory.
+TEST(HttpServer, RequestThatWaitsForMemoryIsRejectedAtShutdownOrAfterASecond) {
+  for (const bool is_shutting_down : {true, false}) {
+    PlatformFixture fixture(20, 40, 7, 128 << 10);
+    ScriptedEngine& engine = fixture.add_engine();
+    engine.execution_time_us = 2 * kSecond;
+    fixture.publish_endpoints();
+    const std::string statement = statement_of_size(60'000);
+    std::vector<std::shared_ptr<ClientResponse>> responses;
+    for (int i = 1; i <= 3; ++i)
+      responses.push_back(
+          fixture.send(PlatformFixture::make_query(make_request_id(i), statement, "report", "8000")));
+    fixture.run_for(200 * kMs);
+    ASSERT_TRUE(fixture.memory().is_exhausted());
+    if (is_shutting_down) {
+      fixture.http_server().start_draining();
+      fixture.http_server().close_idle_connections();
+    }
+    fixture.run_for(5 * kSecond);
+    size_t rejected = 0;
+    for (const auto& response : responses) {
+      if (response->status != 503) continue;
+      ++rejected;
+      EXPECT_LT(response->elapsed_us, is_shutting_down ? 300 * kMs : 1'200 * kMs);
+      EXPECT_EQ(response->body, R"({"failure":"Full"})");
+    }
+    EXPECT_EQ(rejected, 1u);
+    EXPECT_EQ(fixture.http_server().counters().rejected_for_memory, 1u);
+  }
+}
+
 // Guards against memory that clients leave behind: the statement of a request whose client has gone is freed,
 // although its engine does not answer the cancellation.
 TEST(HttpServer, StatementOfDisconnectedClientIsFreedBeforeItsAttemptHasEnded) {
