--- a/tests/platform/engine_client/connection_pool_test.cpp
+++ b/tests/platform/engine_client/connection_pool_test.cpp
@@ -17,6 +17,7 @@
 #include "rpc/asio_loop.h"
 #include "rpc/tcp_transport.h"
 #include "tests/platform/engine_client/engine_client_harness.h"
+#include "tests/platform/engine_client/tcp_engine_client.h"
 #include "tests/platform/platform_harness.h"
 
 namespace sablelink::test {
@@ -45,13 +46,10 @@
   const auto wall = [] { return std::chrono::system_clock::now(); };
   const auto steady = [] { return std::chrono::steady_clock::now(); };
   rpc::AsioLoop engine_loop(wall, steady);
-  rpc::AsioLoop client_loop(wall, steady);
+  TcpEngineClient gateway;
   auto engine_network = std::make_unique<rpc::TcpTransport>(engine_loop);
-  auto client_network = std::make_unique<rpc::TcpTransport>(client_loop);
   std::atomic<int> calls{0};
-  config::EngineConfig engine;
-  engine.name = "n";
-  engine.address =
+  const std::string address =
       "127.0.0.1:" +
       std::to_string(engine_network->listen("127.0.0.1:0", [&](auto stream) -> rpc::Awaitable<void> {
         for (;;) {
@@ -64,40 +62,24 @@
           co_await rpc::write_all(*stream, response);
         }
       }));
-  membership::EndpointRegistry registry;
-  registry.replace({engine});
-  platform::EngineClientOptions options;
-  options.budget.engines = 4;
-  options.class_names = {"lookup"};
-  NullLog log;
-  auto client =
-      std::make_unique<platform::EngineClient>(options, *client_network, client_loop, registry, log);
-  struct StaticEndpointSource : dispatch::EndpointSource {
-    void watch(bool) override {}
-    void fetch() override {}
-  } endpoint_source;
-  dispatch::RequestDispatcher dispatcher(plain_settings(), 7, {}, client_loop, *client, endpoint_source, log);
-  client->set_dispatcher(&dispatcher);
-  client->on_endpoints_changed();
-  client->start({7, 0}, registry.endpoints()[0].engine, make_spec(make_request_id(7)));
+  gateway.publish_addresses({address});
+  platform::EngineClient& client = gateway.client();
+  client.start({7, 0}, gateway.registry().endpoints()[0].engine, make_spec(make_request_id(7)));
   std::thread engine_thread([&] { engine_loop.run(); });
   // Stalls the client from the sending of the call until well after the call's timeout.
   bool has_stalled = false;
   std::function<void()> check = [&] {
-    if (!has_stalled && client->counters().calls_sent > 0) {
+    if (!has_stalled && client.counters().calls_sent > 0) {
       std::this_thread::sleep_for(std::chrono::milliseconds(600));
       has_stalled = true;
     }
-    if (has_stalled && client->active_attempts() == 0) return client_loop.stop();
-    client_loop.call_after(kMs, [&] { check(); });
+    if (has_stalled && client.active_attempts() == 0) return gateway.loop().stop();
+    gateway.loop().call_after(kMs, [&] { check(); });
   };
-  client_loop.call_after(0, [&] { check(); });
-  client_loop.run();
-  EXPECT_EQ(client->counters().calls_timed_out, 0u);
+  gateway.loop().call_after(0, [&] { check(); });
+  gateway.loop().run();
+  EXPECT_EQ(client.counters().calls_timed_out, 0u);
   EXPECT_EQ(calls, 1);
-  client.reset();
-  client_network.reset();
-  client_loop.poll();
   engine_loop.stop();
   engine_thread.join();
   engine_network.reset();
@@ -283,84 +265,6 @@
   EXPECT_EQ(engine.request_count("DELETE"), 1u);
 }
 
-// Passes dials on until their number reaches a limit that only a busy loop reaches; later ones never
-// complete, so that the loop ends.
-class LimitedDialer : public rpc::Dialer {
- public:
-  static constexpr int kMaxDials = 1'000;
-
-  explicit LimitedDialer(rpc::Dialer& dialer) : dialer_(dialer) {}
-  boost::asio::any_io_executor executor() const override { return dialer_.executor(); }
-  rpc::Awaitable<rpc::ConnectResult> connect(std::string address, TimeUs timeout_us) override {
-    if (++dials_ > kMaxDials) co_await never_.wait();
-    const rpc::ConnectResult connected = co_await dialer_.connect(std::move(address), timeout_us);
-    co_return connected;
-  }
-  int dials() const { return dials_; }
-
- private:
-  rpc::Dialer& dialer_;
-  AsyncEvent never_;
-  int dials_ = 0;
-};
-
-// Runs an engine client on TCP sockets and an event loop of its own.
-class TcpEngineClient {
- public:
-  TcpEngineClient() {
-    platform::EngineClientOptions options;
-    options.budget.engines = 4;
-    options.class_names = {"lookup"};
-    client_ = std::make_unique<platform::EngineClient>(options, dialer_, loop_, registry_, log_);
-    dispatcher_ = std::make_unique<dispatch::RequestDispatcher>(
-        plain_settings(), 7, dispatch::DispatcherLimits{}, loop_, *client_, endpoint_source_, log_);
-    client_->set_dispatcher(dispatcher_.get());
-  }
-  ~TcpEngineClient() {
-    client_.reset();
-    network_.reset();
-    loop_.poll();
-  }
-
-  void publish_addresses(const std::vector<std::string>& addresses) {
-    std::vector<config::EngineConfig> engines;
-    for (const std::string& address : addresses) {
-      config::EngineConfig engine;
-      engine.name = address;
-      engine.address = address;
-      engines.push_back(engine);
-    }
-    registry_.replace(engines);
-    client_->on_endpoints_changed();
-  }
-  void run_for(TimeUs duration) {
-    loop_.call_after(duration, [this] { loop_.stop(); });
-    loop_.run();
-  }
-
-  rpc::AsioLoop& loop() { return loop_; }
-  rpc::TcpTransport& network() { return *network_; }
-  const membership::EndpointRegistry& registry() const { return registry_; }
-  platform::EngineClient& client() { return *client_; }
-  int dials() const { return dialer_.dials(); }
-
- private:
-  struct StaticEndpointSource : dispatch::EndpointSource {
-    void watch(bool) override {}
-    void fetch() override {}
-  };
-
-  rpc::AsioLoop loop_{[] { return std::chrono::system_clock::now(); },
-                      [] { return std::chrono::steady_clock::now(); }};
-  std::unique_ptr<rpc::TcpTransport> network_ = std::make_unique<rpc::TcpTransport>(loop_);
-  LimitedDialer dialer_{*network_};
-  membership::EndpointRegistry registry_;
-  NullLog log_;
-  StaticEndpointSource endpoint_source_;
-  std::unique_ptr<platform::EngineClient> client_;
-  std::unique_ptr<dispatch::RequestDispatcher> dispatcher_;
-};
-
 // Guards against a gateway that dials in a busy loop, without serving anything else, after many engines were
 // lost at once under running attempts.
 TEST(ConnectionPool, LossOfManyEnginesAtOnceDoesNotBlockTheEventLoop) {
