--- a/src/platform/engine_client/connection_pool.cpp
+++ b/src/platform/engine_client/connection_pool.cpp
@@ -81,7 +81,7 @@
 ConnectionPool::ConnectionPool(ConnectionPoolOptions options, rpc::Dialer& dialer, Clock& clock,
                                const membership::EndpointRegistry& registry, Delegate& delegate,
                                EngineClientCounters& counters, const EngineCallLog& log)
-    : options_(options),
+    : options_(std::move(options)),
       dialer_(dialer),
       clock_(clock),
       registry_(registry),
--- a/tests/platform/http_server_test.cpp
+++ b/tests/platform/http_server_test.cpp
@@ -223,7 +223,7 @@
   constexpr int kRequestsPerClient = 3;
   // What a connection holds beyond the limit, each with a small request and one read: a statement and the
   // next request behind it.
-  constexpr size_t kMaxExcessPerConnection = 2 * (12 << 10);
+  constexpr size_t kMaxExcessPerConnection = 24 << 10;
   PlatformFixture fixture(60, 40, 7, kMemoryBytes);
   ScriptedEngine& engine = fixture.add_engine();
   engine.execution_time_us = 500 * kMs;
