Fix a reset that is forgotten while a result is held back

Callers see: after the crash of an engine that has just sent a result, the other requests there are given up 2.4 s later than they need to be.

Cause: a reset within the 1 ms for which a result is held sets reset_since_last_success, and the use of the result then cleared it.

Change: the flag is cleared as a response has arrived, not as it is used.

Test: ResetRightAfterAResultIsNoticed failed before, for resets 0.5 to 1 ms after the start was read, and passes.

--- a/src/platform/engine_client/connection_pool.cpp
+++ b/src/platform/engine_client/connection_pool.cpp
@@ -295,6 +295,7 @@
 
 void ConnectionPool::on_message_end(const EngineStatePtr& engine, const ConnectionPtr& connection,
                                     bool connection_ended) {
+  engine->reset_since_last_success = false;
   const http::ResponseReader& reader = connection->reader;
   if (!is_result(connection->pending_call->type, reader.response())) {
     const bool reusable = !connection_ended && !reader.has_buffered_bytes() && reader.response().keep_alive;
@@ -337,7 +338,6 @@
                                           bool reusable) {
   const WeakPtr<ConnectionPool> self = weak_factory_.get_weak_ptr();
   const http::Response response = connection->reader.take_message();
-  engine->reset_since_last_success = false;
   EngineCall call = std::move(*connection->pending_call);
   log_.call_completed({call, engine->address, connection->number}, response.status);
   connection->pending_call.reset();
--- a/tests/platform/engine_client/connection_pool_test.cpp
+++ b/tests/platform/engine_client/connection_pool_test.cpp
@@ -168,6 +168,31 @@
   EXPECT_EQ(engine.received_requests.size(), 1u);
 }
 
+// Guards against the crash of an engine that goes unnoticed because it had sent a result just before: the
+// attempts that ran there are given up as soon as a new connection is refused.
+TEST(ConnectionPool, ResetRightAfterAResultIsNoticed) {
+  for (TimeUs reset_delay = 0; reset_delay <= 3 * kMs; reset_delay += kMs / 4) {
+    PlatformFixture fixture;
+    ScriptedEngine& engine = fixture.add_engine();
+    engine.execution_time_us = 10 * kSecond;
+    engine.script = [&](const ScriptedEngine::ReceivedRequest&) -> std::optional<ScriptedResponse> {
+      if (engine.request_count("POST") != 2) return std::nullopt;
+      return ScriptedResponse{engine.page_response(0)};
+    };
+    fixture.publish_endpoints();
+    fixture.engine_client().start({7, 0}, fixture.engine_id(engine), make_spec(make_request_id(7)));
+    fixture.run_for(100 * kMs);
+    fixture.engine_client().start({8, 0}, fixture.engine_id(engine), make_spec(make_request_id(8)));
+    while (engine.request_count("POST") < 2) fixture.run_for(kMs / 10);
+    fixture.run_for(reset_delay);
+    fixture.streams().unlisten(engine.address());
+    fixture.streams().reset(engine.address());
+    fixture.run_for(300 * kMs);
+    EXPECT_EQ(fixture.engine_client().active_attempts(), 0u) << reset_delay << " us after the start was read";
+    fixture.run_for(5 * kSecond);
+  }
+}
+
 TEST(ConnectionPool, AttemptIsRetriedOnAnotherEngineAfterRefusedConnection) {
   PlatformFixture fixture;
   ScriptedEngine& refusing_engine = fixture.add_engine();
