Fix a late result with bytes behind it that proved nothing

Callers see: where the answer to a start comes after its time with further bytes behind it, the request's next attempt waits until the request's end.

Cause: such a result isn't used, and the pool told nobody that the engine has answered the start. "Unknown" to a DELETE then never counted as the attempt's end.

Change: Delegate::on_late_result_discarded; the start counts as read and the cancellation is repeated at once, as after a late 202.

--- a/src/platform/engine_client/connection_pool.cpp
+++ b/src/platform/engine_client/connection_pool.cpp
@@ -361,6 +361,7 @@
   close(*engine, connection);
   if (call && was_overdue) {
     if (reason == CallFailure::kConnectionClosed) delegate_.on_late_connection_closed(*call);
+    if (reason == CallFailure::kTrailingBytes) delegate_.on_late_result_discarded(*call);
   } else if (call) {
     ++counters_.calls_interrupted;
     log_.call_interrupted({*call, engine->address, connection->number}, failure_name(reason));
--- a/src/platform/engine_client/connection_pool.h
+++ b/src/platform/engine_client/connection_pool.h
@@ -62,6 +62,9 @@
     virtual void on_late_response(EngineCall call, const http::Response& response) = 0;
     /// The engine has closed the connection of a start or a cancellation that has timed out.
     virtual void on_late_connection_closed(const EngineCall& call) = 0;
+    /// The engine has responded to a start that has timed out with a result that bytes follow, as with
+    /// CallFailure::kTrailingBytes. The result is lost, but the engine has read the start.
+    virtual void on_late_result_discarded(const EngineCall& call) = 0;
   };
 
   /// Interval at which expire() must be called.
--- a/src/platform/engine_client/engine_client.cpp
+++ b/src/platform/engine_client/engine_client.cpp
@@ -191,11 +191,11 @@
 void EngineClient::on_late_start_response(EngineCall call, PollResponse poll) {
   const AttemptPtr attempt = call.attempt;
   if (poll.status == PollResponse::Status::kMalformed) return;
-  attempt->on_start_read();
   if (poll.status == PollResponse::Status::kRunning) {
-    if (orphans_.contains(attempt)) schedule_cancel(attempt, 0);
+    on_late_start_read(attempt);
     return;
   }
+  attempt->on_start_read();
   if (attempt->is_finished()) {
     on_orphan_ended(attempt);
   } else {
@@ -203,6 +203,14 @@
   }
 }
 
+// From now on, the response to a cancellation proves the attempt's end.
+void EngineClient::on_late_start_read(const AttemptPtr& attempt) {
+  attempt->on_start_read();
+  if (orphans_.contains(attempt)) schedule_cancel(attempt, 0);
+}
+
+void EngineClient::on_late_result_discarded(const EngineCall& call) { on_late_start_read(call.attempt); }
+
 void EngineClient::on_late_connection_closed(const EngineCall& call) {
   if (call.type == CallType::kStart) {
     call.attempt->on_start_connection_closed();
--- a/src/platform/engine_client/engine_client.h
+++ b/src/platform/engine_client/engine_client.h
@@ -78,11 +78,13 @@
   void on_call_failed(EngineCall call, CallFailure failure) override;
   void on_late_response(EngineCall call, const http::Response& response) override;
   void on_late_connection_closed(const EngineCall& call) override;
+  void on_late_result_discarded(const EngineCall& call) override;
 
   void schedule_call(CallType type, const AttemptPtr& attempt);
   void on_cancel_refused(const AttemptPtr& attempt);
   void on_cancel_response(const EngineCall& call, const http::Response& response);
   void on_late_start_response(EngineCall call, PollResponse poll);
+  void on_late_start_read(const AttemptPtr& attempt);
   void on_poll_response(EngineCall call, PollResponse poll);
   void apply_step(EngineCall call, const AttemptStep& step);
   void poll_later(const AttemptPtr& attempt);
--- a/tests/platform/engine_client/orphaned_attempts_test.cpp
+++ b/tests/platform/engine_client/orphaned_attempts_test.cpp
@@ -234,6 +234,33 @@
   fixture.run_for(kSecond);
 }
 
+// Guards against a next attempt that waits until its request's end: a late result is not used if bytes follow
+// it, but it proves that the start was read, so "unknown attempt" then proves the end.
+TEST(OrphanedAttempts, LateResultWithTrailingBytesProvesThatItsStartWasRead) {
+  PlatformFixture fixture;
+  ScriptedEngine& first_engine = fixture.add_engine();
+  ScriptedEngine& second_engine = fixture.add_engine();
+  second_engine.execution_time_us = 10 * kSecond;
+  const TimeUs responds_at = fixture.world().now() + 800 * kMs;
+  first_engine.script = [&](const ScriptedEngine::ReceivedRequest& received) {
+    if (received.request.method == "GET") return ScriptedResponse{"", 0, false, true};
+    if (received.request.method == "DELETE")
+      return ScriptedResponse{http::serialize_response(500, {}, "", true)};
+    return ScriptedResponse{first_engine.page_response(0) + "noise", responds_at - received.received_at};
+  };
+  fixture.publish_endpoints();
+  start_first(fixture, first_engine);
+  fixture.run_for(500 * kMs);
+  ASSERT_EQ(fixture.engine_client().counters().starts_overdue, 1u);
+  cancel_and_start_next(fixture, second_engine);
+  fixture.world().run_until(responds_at);
+  EXPECT_EQ(second_engine.request_count("POST"), 0u);
+  fixture.run_for(100 * kMs);
+  EXPECT_EQ(second_engine.request_count("POST"), 1u);
+  fixture.engine_client().cancel({7, 1});
+  fixture.run_for(kSecond);
+}
+
 // An engine may need longer for its answer than a few calls take.
 TEST(OrphanedAttempts, CancellationIsRepeatedUntilItIsConfirmed) {
   PlatformFixture fixture;
