Platform: count the memory that incomplete results use

Cause: the pages of a result are kept until its last one has come, and nothing tells how much memory they take.

Change: a MemoryBudget of its own counts them, total result_memory_peak_kb at shutdown. Nothing is held up for it yet.

The platform's suite passes, 95 of 95.

--- a/src/platform/engine_client/engine_attempt.cpp
+++ b/src/platform/engine_client/engine_attempt.cpp
@@ -16,14 +16,16 @@
 
 }  // namespace
 
-EngineAttempt::EngineAttempt(dispatch::AttemptId id, EngineId engine, dispatch::AttemptSpec spec, TimeUs now)
+EngineAttempt::EngineAttempt(dispatch::AttemptId id, EngineId engine, dispatch::AttemptSpec spec, TimeUs now,
+                             std::shared_ptr<MemoryBudget> result_memory)
     : id_(id),
       engine_(engine),
       spec_(std::move(spec)),
       client_tag_(spec_.statement->client_tag),
       created_at_(now),
       unknown_poll_backoff_(kMinBackoffUs, kMaxBackoffUs),
-      cancel_backoff_(kMinBackoffUs, kMaxBackoffUs) {}
+      cancel_backoff_(kMinBackoffUs, kMaxBackoffUs),
+      result_reservation_(std::move(result_memory), MemoryUse::kResults) {}
 
 void EngineAttempt::on_start_sent(TimeUs now) {
   start_sent_at_ = now;
@@ -84,6 +86,7 @@
   page_rows_.assign(response.page_count, std::nullopt);
   page_rows_[0] = std::move(response.first_page_rows);
   missing_page_count_ = page_rows_.size() - 1;
+  update_result_reservation();
   if (missing_page_count_ == 0) return {AttemptStep::Type::kComplete, Outcome::kOk};
   return {AttemptStep::Type::kFetchPages};
 }
@@ -97,6 +100,7 @@
   std::optional<std::string>& rows = page_rows_[page];
   if (rows) return {AttemptStep::Type::kAwaitPages};
   rows = std::move(response.rows);
+  update_result_reservation();
   --missing_page_count_;
   if (missing_page_count_ > 0) return {AttemptStep::Type::kAwaitPages};
   return {AttemptStep::Type::kComplete, Outcome::kOk};
@@ -126,6 +130,13 @@
   finished_ = true;
   spec_.statement.reset();
   page_rows_.clear();
+  update_result_reservation();
+}
+
+void EngineAttempt::update_result_reservation() {
+  size_t bytes = 0;
+  for (const std::optional<std::string>& rows : page_rows_) bytes += rows ? rows->capacity() : 0;
+  result_reservation_.resize(bytes);
 }
 
 bool EngineAttempt::is_start_settled(TimeUs now) const {
--- a/src/platform/engine_client/engine_attempt.h
+++ b/src/platform/engine_client/engine_attempt.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstddef>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -9,6 +10,7 @@
 #include "base/backoff.h"
 #include "dispatch/attempt.h"
 #include "platform/engine_client/engine_protocol.h"
+#include "platform/memory_budget.h"
 #include "workload/types.h"
 
 namespace sablelink::platform {
@@ -44,7 +46,9 @@
 /// loss of a connection alone does not complete the attempt.
 class EngineAttempt {
  public:
-  EngineAttempt(dispatch::AttemptId id, EngineId engine, dispatch::AttemptSpec spec, TimeUs now);
+  /// `result_memory` counts the attempt's result until it is complete; null: not counted.
+  EngineAttempt(dispatch::AttemptId id, EngineId engine, dispatch::AttemptSpec spec, TimeUs now,
+                std::shared_ptr<MemoryBudget> result_memory);
 
   const dispatch::AttemptId& id() const { return id_; }
   EngineId engine() const { return engine_; }
@@ -112,6 +116,9 @@
   TimeUs earliest_cancel_at() const;
 
  private:
+  // Updates the reserved bytes to those of the received pages.
+  void update_result_reservation();
+
   const dispatch::AttemptId id_;
   const EngineId engine_;
   dispatch::AttemptSpec spec_;
@@ -129,6 +136,7 @@
   int consecutive_call_failures_ = 0;
   dispatch::AttemptResult result_;
   std::vector<std::optional<std::string>> page_rows_;  // by page; empty until received
+  MemoryReservation result_reservation_;
   size_t missing_page_count_ = 0;
 };
 
--- a/src/platform/engine_client/engine_client.cpp
+++ b/src/platform/engine_client/engine_client.cpp
@@ -34,7 +34,8 @@
 // ---- Attempts
 
 void EngineClient::start(dispatch::AttemptId id, EngineId engine, const dispatch::AttemptSpec& spec) {
-  const auto attempt = std::make_shared<EngineAttempt>(id, engine, spec, clock_.now());
+  const auto attempt =
+      std::make_shared<EngineAttempt>(id, engine, spec, clock_.now(), options_.result_memory);
   attempts_[{id.request, id.number}] = attempt;
   pool_.add_attempt(attempt);
   if (!options_.hedging_allowed && orphans_.delay_if_needed(attempt)) {
--- a/src/platform/engine_client/engine_client.h
+++ b/src/platform/engine_client/engine_client.h
@@ -32,8 +32,9 @@
   TimeUs dial_timeout_us = 250'000;
   TimeUs engine_idle_timeout_us = 15'000'000;  // engines close connections that are idle for this long
   std::shared_ptr<MemoryBudget> memory{};      // counts the calls that are being written; null: not counted
-  bool hedging_allowed = false;                // whether attempts of one request may overlap
-  std::vector<std::string> class_names;        // the platform's names of the workload classes, by class index
+  std::shared_ptr<MemoryBudget> result_memory{};  // counts results until they are complete; null: not counted
+  bool hedging_allowed = false;                   // whether attempts of one request may overlap
+  std::vector<std::string> class_names;  // the platform's names of the workload classes, by class index
 };
 
 /// Sends the calls of attempts through the connection pool and reports each attempt's progress and completion
--- a/src/platform/memory_budget.h
+++ b/src/platform/memory_budget.h
@@ -1,4 +1,4 @@
-// Account of the memory that client requests use in a gateway, and its limit. Pure.
+// Account of the memory that requests or results use in a gateway, and its limit. Pure.
 #pragma once
 
 #include <algorithm>
@@ -16,8 +16,9 @@
   kStatements,      // statements of open requests
   kEngineCalls,     // calls to engines that are being written
   kResponses,       // responses to clients that are being written
+  kResults,         // results of engines until their last page has been received
 };
-constexpr size_t kMemoryUses = 4;
+constexpr size_t kMemoryUses = 5;
 
 /// Counts the reserved bytes, which may exceed the limit: users check is_exhausted() where they can refuse
 /// more. Not thread-safe.
--- a/src/service/platform_service.cpp
+++ b/src/service/platform_service.cpp
@@ -13,16 +13,19 @@
 constexpr TimeUs kIdlePollIntervalUs = 10'000;
 constexpr size_t kResponseMemoryDivisor = 8;  // responses may use one part in so many of the memory limit
 constexpr size_t kRequestMemoryDivisor = 8;   // the same for requests
+constexpr size_t kResultMemoryDivisor = 8;    // the same for results of engines until they are complete
 constexpr TimeUs kMemoryCheckIntervalUs = 100'000;
 constexpr size_t kLoggedMemoryStepBytes = 1 << 20;
 constexpr size_t kBytesPerKb = 1024;
 
 platform::EngineClientOptions engine_client_options(const platform::PlatformConfig& config,
                                                     const platform::DescriptorBudget& budget,
-                                                    std::shared_ptr<platform::MemoryBudget> memory) {
+                                                    std::shared_ptr<platform::MemoryBudget> memory,
+                                                    std::shared_ptr<platform::MemoryBudget> result_memory) {
   platform::EngineClientOptions options;
   options.budget = budget;
   options.memory = std::move(memory);
+  options.result_memory = std::move(result_memory);
   options.dial_timeout_us = config.dial_timeout_us;
   options.engine_idle_timeout_us = config.engine_idle_timeout_us;
   options.hedging_allowed = config.settings.hedging_allowed;
@@ -58,13 +61,16 @@
       loop_(system.wall, system.steady),
       request_memory_(
           std::make_shared<platform::MemoryBudget>((config_.memory_mb << 20) / kRequestMemoryDivisor)),
+      result_memory_(
+          std::make_shared<platform::MemoryBudget>((config_.memory_mb << 20) / kResultMemoryDivisor)),
       network_(std::make_unique<rpc::TcpTransport>(loop_)) {
   const platform::DescriptorBudget budget = platform::DescriptorBudget::from_limit(config_.max_descriptors);
   endpoint_source_ = std::make_unique<RegistryEndpointSource>(
       endpoint_registry_,
       [this](std::function<void()> callback) { loop_.call_after(0, std::move(callback)); });
   engine_client_ = std::make_unique<platform::EngineClient>(
-      engine_client_options(config_, budget, request_memory_), *network_, loop_, endpoint_registry_, *log_);
+      engine_client_options(config_, budget, request_memory_, result_memory_), *network_, loop_,
+      endpoint_registry_, *log_);
   dispatcher_ = std::make_unique<dispatch::RequestDispatcher>(config_.settings, config_.seed,
                                                               dispatcher_limits(config_), loop_,
                                                               *engine_client_, *endpoint_source_, *log_);
@@ -181,6 +187,7 @@
               {"client_connections_rejected", std::to_string(clients.rejected_at_capacity)},
               {"client_requests_rejected_for_memory", std::to_string(clients.rejected_for_memory)},
               {"request_memory_peak_kb", std::to_string(request_memory_->peak_bytes() / kBytesPerKb)},
+              {"result_memory_peak_kb", std::to_string(result_memory_->peak_bytes() / kBytesPerKb)},
               {"engine_connections", std::to_string(engines.dials)},
               {"engine_dials_refused", std::to_string(engines.dials_refused)},
               {"engine_dials_failed", std::to_string(engines.dials_failed)},
--- a/src/service/platform_service.h
+++ b/src/service/platform_service.h
@@ -62,6 +62,7 @@
   std::unique_ptr<Log> log_;
   rpc::AsioLoop loop_;
   const std::shared_ptr<platform::MemoryBudget> request_memory_;
+  const std::shared_ptr<platform::MemoryBudget> result_memory_;
   size_t logged_memory_peak_bytes_ = 0;
   std::unique_ptr<rpc::TcpTransport> network_;
   membership::EndpointRegistry endpoint_registry_;
--- a/tests/platform/engine_client/engine_call_log_test.cpp
+++ b/tests/platform/engine_client/engine_call_log_test.cpp
@@ -27,7 +27,7 @@
   RecordingLog log;
   const platform::EngineCallLog call_log(log);
   const auto attempt = std::make_shared<platform::EngineAttempt>(dispatch::AttemptId{7, 1}, 3,
-                                                                 make_spec("9b1f03aa5c7e2d41"), 0);
+                                                                 make_spec("9b1f03aa5c7e2d41"), 0, nullptr);
   const platform::EngineCall call{platform::CallType::kStart, attempt};
   const std::string address = "10.0.0.1:10080";
   call_log.call_sent({call, address, 5});
