Fix memory of incomplete results that no limit covered

Callers would see: a gateway killed over memory_mb where the pages of many large results arrive and their last ones don't.

Pages are kept as they came. Why it works: a result that is being fetched never waits for memory, so each reservation ends; what waits is one page at most.

ResultsWaitForMemoryWithoutBeingAbandoned and CancelledResultNoLongerWaitsForMemory are new. The test of pages checks the same pages through is_valid_page() and append_json_rows(), which replace page_to_json_rows(). The engine of the process tests confirms a DELETE with 204, as engines do.

--- a/src/platform/engine_client/engine_attempt.cpp
+++ b/src/platform/engine_client/engine_attempt.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "platform/pages.h"
+
 namespace sablelink::platform {
 namespace {
 
@@ -55,7 +57,7 @@
 AttemptStep EngineAttempt::on_poll_response(PollResponse response, bool start_was_settled) {
   if (response.load_report) result_.load_report = response.load_report;
   // The responses to the start and to a poll may both report the completion.
-  const bool is_completion_known = !page_rows_.empty();
+  const bool is_completion_known = !pages_.empty();
   if (is_completion_known) return {AttemptStep::Type::kAwaitPages};
   switch (response.status) {
     case PollResponse::Status::kMalformed:
@@ -83,10 +85,9 @@
   consecutive_call_failures_ = 0;
   if (response.work_us) result_.work_us = response.work_us;
   if (response.memory_used_mb) result_.memory_used_mb = response.memory_used_mb;
-  page_rows_.assign(response.page_count, std::nullopt);
-  page_rows_[0] = std::move(response.first_page_rows);
-  missing_page_count_ = page_rows_.size() - 1;
-  update_result_reservation();
+  pages_.assign(response.page_count, std::nullopt);
+  pages_[0] = std::move(response.first_page);
+  missing_page_count_ = pages_.size() - 1;
   if (missing_page_count_ == 0) return {AttemptStep::Type::kComplete, Outcome::kOk};
   return {AttemptStep::Type::kFetchPages};
 }
@@ -97,22 +98,19 @@
   }
   if (response.status == PageResponse::Status::kMalformed) return {AttemptStep::Type::kMalformedResponse};
   consecutive_call_failures_ = 0;
-  std::optional<std::string>& rows = page_rows_[page];
-  if (rows) return {AttemptStep::Type::kAwaitPages};
-  rows = std::move(response.rows);
-  update_result_reservation();
+  std::optional<std::string>& stored = pages_[page];
+  if (stored) return {AttemptStep::Type::kAwaitPages};
+  stored = std::move(response.page);
   --missing_page_count_;
   if (missing_page_count_ > 0) return {AttemptStep::Type::kAwaitPages};
   return {AttemptStep::Type::kComplete, Outcome::kOk};
 }
 
+void EngineAttempt::reserve_result() { result_reservation_.resize(pages_.size() * kMaxPageBytes); }
+
 std::string EngineAttempt::joined_rows() const {
   std::string joined;
-  for (const std::optional<std::string>& rows : page_rows_) {
-    if (rows->empty()) continue;
-    if (!joined.empty()) joined += ',';
-    joined += *rows;
-  }
+  for (const std::optional<std::string>& page : pages_) append_json_rows(page.value(), joined);
   return joined;
 }
 
@@ -129,14 +127,8 @@
 void EngineAttempt::finish() {
   finished_ = true;
   spec_.statement.reset();
-  page_rows_.clear();
-  update_result_reservation();
-}
-
-void EngineAttempt::update_result_reservation() {
-  size_t bytes = 0;
-  for (const std::optional<std::string>& rows : page_rows_) bytes += rows ? rows->capacity() : 0;
-  result_reservation_.resize(bytes);
+  pages_.clear();
+  result_reservation_.resize(0);
 }
 
 bool EngineAttempt::is_start_settled(TimeUs now) const {
--- a/src/platform/engine_client/engine_attempt.h
+++ b/src/platform/engine_client/engine_attempt.h
@@ -46,7 +46,7 @@
 /// loss of a connection alone does not complete the attempt.
 class EngineAttempt {
  public:
-  /// `result_memory` counts the attempt's result until it is complete; null: not counted.
+  /// `result_memory` counts the attempt's result, see reserve_result(); null: not counted.
   EngineAttempt(dispatch::AttemptId id, EngineId engine, dispatch::AttemptSpec spec, TimeUs now,
                 std::shared_ptr<MemoryBudget> result_memory);
 
@@ -81,8 +81,10 @@
   /// when the poll was sent, and true for the response to the start.
   AttemptStep on_poll_response(PollResponse response, bool start_was_settled);
   AttemptStep on_page_response(int page, PageResponse response);
-  int page_count() const { return static_cast<int>(page_rows_.size()); }
-  /// The rows of all pages as JSON. Requires completion with Outcome::kOk.
+  int page_count() const { return static_cast<int>(pages_.size()); }
+  /// Reserves memory for as many bytes as the result can have, until the attempt is finished.
+  void reserve_result();
+  /// The rows of all pages as the elements of a JSON array. Requires completion with Outcome::kOk.
   std::string joined_rows() const;
 
   /// Marks the attempt as finished and frees its statement and rows; the owner ignores later responses.
@@ -116,9 +118,6 @@
   TimeUs earliest_cancel_at() const;
 
  private:
-  // Updates the reserved bytes to those of the received pages.
-  void update_result_reservation();
-
   const dispatch::AttemptId id_;
   const EngineId engine_;
   dispatch::AttemptSpec spec_;
@@ -135,7 +134,8 @@
   bool finished_ = false;
   int consecutive_call_failures_ = 0;
   dispatch::AttemptResult result_;
-  std::vector<std::optional<std::string>> page_rows_;  // by page; empty until received
+  std::vector<std::optional<std::string>>
+      pages_;  // as received, which is shorter than JSON; empty until then
   MemoryReservation result_reservation_;
   size_t missing_page_count_ = 0;
 };
--- a/src/platform/engine_client/engine_client.cpp
+++ b/src/platform/engine_client/engine_client.cpp
@@ -10,6 +10,7 @@
 
 // Delay before a cancellation without a response is repeated while its connection is open.
 constexpr TimeUs kOverdueCancelRetryDelayUs = 1'000'000;
+constexpr TimeUs kKeepAliveIntervalUs = kAbandonTimeoutUs / 2;
 
 ConnectionPoolOptions pool_options(const EngineClientOptions& options) {
   ConnectionPoolOptions out;
@@ -27,6 +28,7 @@
     : options_(std::move(options)),
       clock_(clock),
       log_(log),
+      fetch_queue_(options_.result_memory),
       pool_(pool_options(options_), dialer, clock, registry, *this, counters_, log_) {
   expire();
 }
@@ -72,6 +74,8 @@
   attempts_.erase({attempt->id().request, attempt->id().number});
   pool_.remove_calls(attempt);
   orphans_.remove_delayed(attempt);
+  fetch_queue_.remove(attempt);
+  for (const AttemptPtr& released : fetch_queue_.release()) fetch_pages(released);
 }
 
 // Completes an attempt that may still run. It is orphaned before, so that the dispatcher's next attempt is
@@ -235,11 +239,15 @@
       poll_later(attempt);
       return;
     case AttemptStep::Type::kFetchPages:
-      for (int page = 1; page < attempt->page_count(); ++page) {
-        pool_.enqueue({CallType::kFetchPage, attempt, page});
+      if (fetch_queue_.reserve_or_wait(attempt)) {
+        fetch_pages(attempt);
+      } else {
+        ++counters_.results_delayed;
+        keep_alive(attempt);
       }
       return;
     case AttemptStep::Type::kAwaitPages:
+      if (fetch_queue_.contains(attempt)) keep_alive(attempt);
       return;
     case AttemptStep::Type::kComplete:
       if (step.outcome == Outcome::kOk) {
@@ -256,6 +264,20 @@
   });
 }
 
+void EngineClient::fetch_pages(const AttemptPtr& attempt) {
+  for (int page = 1; page < attempt->page_count(); ++page) {
+    pool_.enqueue({CallType::kFetchPage, attempt, page});
+  }
+  pool_.schedule_dispatch(attempt->engine());
+}
+
+// Polls an attempt whose result waits for memory, since its engine abandons it otherwise.
+void EngineClient::keep_alive(const AttemptPtr& attempt) {
+  clock_.call_after(kKeepAliveIntervalUs, [self = weak_factory_.get_weak_ptr(), attempt] {
+    if (self && self->fetch_queue_.contains(attempt)) self->schedule_call(CallType::kPoll, attempt);
+  });
+}
+
 void EngineClient::on_call_failed(EngineCall call, CallFailure failure) {
   switch (failure) {
     case CallFailure::kNotSent:
--- a/src/platform/engine_client/engine_client.h
+++ b/src/platform/engine_client/engine_client.h
@@ -22,6 +22,7 @@
 #include "platform/engine_client/engine_call_log.h"
 #include "platform/engine_client/engine_client_counters.h"
 #include "platform/engine_client/orphaned_attempts.h"
+#include "platform/engine_client/result_fetch_queue.h"
 #include "platform/memory_budget.h"
 #include "rpc/byte_stream.h"
 
@@ -32,7 +33,7 @@
   TimeUs dial_timeout_us = 250'000;
   TimeUs engine_idle_timeout_us = 15'000'000;  // engines close connections that are idle for this long
   std::shared_ptr<MemoryBudget> memory{};      // counts the calls that are being written; null: not counted
-  std::shared_ptr<MemoryBudget> result_memory{};  // counts results until they are complete; null: not counted
+  std::shared_ptr<MemoryBudget> result_memory{};  // limits results of several pages; null: unlimited
   bool hedging_allowed = false;                   // whether attempts of one request may overlap
   std::vector<std::string> class_names;  // the platform's names of the workload classes, by class index
 };
@@ -89,6 +90,8 @@
   void on_poll_response(EngineCall call, PollResponse poll);
   void apply_step(EngineCall call, const AttemptStep& step);
   void poll_later(const AttemptPtr& attempt);
+  void fetch_pages(const AttemptPtr& attempt);
+  void keep_alive(const AttemptPtr& attempt);
   void retry(EngineCall call);
   void schedule_cancel(const AttemptPtr& attempt, TimeUs delay);
   void complete(const AttemptPtr& attempt, Outcome outcome);
@@ -105,6 +108,7 @@
   const EngineCallLog log_;
   std::map<std::pair<RequestId, int>, AttemptPtr> attempts_;  // by request id and attempt number
   OrphanedAttempts orphans_;
+  ResultFetchQueue fetch_queue_;
   ConnectionPool pool_;
   WeakPtrFactory<EngineClient> weak_factory_{this};
 };
--- a/src/platform/engine_client/engine_client_counters.h
+++ b/src/platform/engine_client/engine_client_counters.h
@@ -18,8 +18,9 @@
   uint64_t attempts_delayed = 0;     // delayed until an orphaned attempt of the same request ended
   uint64_t attempts_released = 0;    // those of `attempts_delayed` that were then sent
   uint64_t delay_us = 0;             // total time that the released attempts were delayed
-  uint64_t starts_overdue = 0;       // start calls that timed out, whose connection was kept open
-  uint64_t starts_unread = 0;        // responses "unknown attempt" while the start may still be read
+  uint64_t results_delayed = 0;  // results whose further pages were not fetched at once, for want of memory
+  uint64_t starts_overdue = 0;   // start calls that timed out, whose connection was kept open
+  uint64_t starts_unread = 0;    // responses "unknown attempt" while the start may still be read
 };
 
 }  // namespace sablelink::platform
--- a/src/platform/engine_client/engine_protocol.cpp
+++ b/src/platform/engine_client/engine_protocol.cpp
@@ -33,11 +33,10 @@
 void parse_complete_response(const http::Response& response, PollResponse& out) {
   const long long page_count =
       http::parse_decimal(http::field_value(response.fields, "page-count"), kMaxPages);
-  std::optional<std::string> rows = page_to_json_rows(response.body);
-  if (page_count < 1 || !rows) return;
+  if (page_count < 1 || !is_valid_page(response.body)) return;
   out.status = PollResponse::Status::kComplete;
   out.page_count = static_cast<int>(page_count);
-  out.first_page_rows = std::move(*rows);
+  out.first_page = response.body;
   if (const auto work_ms = parse_positive_number(response, "work-ms")) out.work_us = *work_ms * kUsPerMs;
   out.memory_used_mb = parse_positive_number(response, "peak-mb");
 }
@@ -108,9 +107,8 @@
   if (response.status != 200) return {};
   if (http::parse_decimal(http::field_value(response.fields, "page-no"), kMaxPages) != expected_page)
     return {};
-  std::optional<std::string> rows = page_to_json_rows(response.body);
-  if (!rows) return {};
-  return {PageResponse::Status::kPage, std::move(*rows)};
+  if (!is_valid_page(response.body)) return {};
+  return {PageResponse::Status::kPage, response.body};
 }
 
 CancelResponse parse_cancel_response(const http::Response& response) {
--- a/src/platform/engine_client/engine_protocol.h
+++ b/src/platform/engine_client/engine_protocol.h
@@ -47,7 +47,7 @@
   std::optional<LoadReport> load_report;    // may be set with any status
   std::optional<AttemptProgress> progress;  // may be set with kRunning
   int page_count = 0;                       // set with kComplete, like the following members
-  std::string first_page_rows;              // JSON rows
+  std::string first_page;                   // valid, see is_valid_page()
   std::optional<double> work_us;
   std::optional<double> memory_used_mb;
 };
@@ -57,7 +57,7 @@
 struct PageResponse {
   enum class Status { kMalformed, kPage, kFailed };
   Status status = Status::kMalformed;
-  std::string rows;  // JSON rows; set with kPage
+  std::string page;  // valid, see is_valid_page(); set with kPage
 };
 /// A response with a page other than `expected_page` is malformed.
 PageResponse parse_page_response(const http::Response& response, int expected_page);
--- a/src/platform/pages.cpp
+++ b/src/platform/pages.cpp
@@ -8,9 +8,23 @@
 namespace sablelink::platform {
 namespace {
 
-// Returns false if the row does not have kColumnCount columns; `out` is then not valid.
-bool append_json_row(std::string_view row, std::string& out) {
-  if (std::count(row.begin(), row.end(), '\t') != kColumnCount - 1) return false;
+// Calls the function with each row, without its line feed. Returns false as soon as the function does, or if
+// the last row has no line feed.
+template <typename Function>
+bool for_each_row(std::string_view page, Function function) {
+  while (!page.empty()) {
+    const size_t end = page.find('\n');
+    if (end == std::string_view::npos || !function(page.substr(0, end))) return false;
+    page.remove_prefix(end + 1);
+  }
+  return true;
+}
+
+bool is_valid_row(std::string_view row) {
+  return std::count(row.begin(), row.end(), '\t') == kColumnCount - 1;
+}
+
+void append_json_row(std::string_view row, std::string& out) {
   out += "[\"";
   for (size_t tab = row.find('\t'); tab != std::string_view::npos; tab = row.find('\t')) {
     out += json_escaped(row.substr(0, tab));
@@ -19,23 +33,20 @@
   }
   out += json_escaped(row);
   out += "\"]";
-  return true;
 }
 
 }  // namespace
 
-std::optional<std::string> page_to_json_rows(std::string_view page) {
-  if (page.size() > kMaxPageBytes || !is_valid_text(page)) return std::nullopt;
-  std::string out;
-  out.reserve(page.size() + page.size() / 4);
-  while (!page.empty()) {
-    const size_t end = page.find('\n');
-    if (end == std::string_view::npos) return std::nullopt;
-    if (!out.empty()) out += ',';
-    if (!append_json_row(page.substr(0, end), out)) return std::nullopt;
-    page.remove_prefix(end + 1);
-  }
-  return out;
+bool is_valid_page(std::string_view page) {
+  return page.size() <= kMaxPageBytes && is_valid_text(page) && for_each_row(page, is_valid_row);
+}
+
+void append_json_rows(std::string_view page, std::string& array) {
+  for_each_row(page, [&array](std::string_view row) {
+    if (!array.empty()) array += ',';
+    append_json_row(row, array);
+    return true;
+  });
 }
 
 std::optional<LoadReport> parse_load_report(std::string_view text) {
--- a/src/service/platform_service.cpp
+++ b/src/service/platform_service.cpp
@@ -188,6 +188,7 @@
               {"client_requests_rejected_for_memory", std::to_string(clients.rejected_for_memory)},
               {"request_memory_peak_kb", std::to_string(request_memory_->peak_bytes() / kBytesPerKb)},
               {"result_memory_peak_kb", std::to_string(result_memory_->peak_bytes() / kBytesPerKb)},
+              {"results_delayed", std::to_string(engines.results_delayed)},
               {"engine_connections", std::to_string(engines.dials)},
               {"engine_dials_refused", std::to_string(engines.dials_refused)},
               {"engine_dials_failed", std::to_string(engines.dials_failed)},
--- a/tests/platform/engine_client/engine_client_test.cpp
+++ b/tests/platform/engine_client/engine_client_test.cpp
@@ -9,6 +9,8 @@
 #include <string>
 #include <vector>
 
+#include "platform/engine_client/engine_protocol.h"
+#include "platform/pages.h"
 #include "tests/platform/engine_client/engine_client_harness.h"
 #include "tests/platform/platform_harness.h"
 
@@ -300,5 +302,76 @@
   EXPECT_EQ(fixture.http_server().connection_count(), 0u);
 }
 
+// Guards against incomplete results that take any amount of memory: the further pages of a result are fetched
+// once there is memory for all of them. Meanwhile its engine is asked for it, so that it isn't abandoned.
+TEST(EngineClient, ResultsWaitForMemoryWithoutBeingAbandoned) {
+  constexpr int kAttempts = 10;
+  constexpr size_t kPages = 8;
+  constexpr size_t kMaxResultBytes = kPages * platform::kMaxPageBytes;
+  PlatformFixture fixture(20, 4, 7, 4 << 20, kMaxResultBytes / 2);
+  ScriptedEngine& engine = fixture.add_engine();
+  engine.execution_time_us = 10 * kMs;
+  engine.result_pages.assign(kPages, "a\t1\tx\n");
+  engine.script = [&](const ScriptedEngine::ReceivedRequest& received) -> std::optional<ScriptedResponse> {
+    const std::string& target = received.request.target;
+    if (received.request.method != "GET" || target.ends_with("/0")) return std::nullopt;
+    return ScriptedResponse{engine.page_response(std::stoul(target.substr(target.rfind('/') + 1))),
+                            100 * kMs};
+  };
+  fixture.publish_endpoints();
+  for (int i = 1; i <= kAttempts; ++i)
+    fixture.engine_client().start({static_cast<RequestId>(i), 0}, fixture.engine_id(engine),
+                                  make_spec(make_request_id(i), 60 * kSecond));
+  fixture.run_for(10 * kSecond);
+  EXPECT_EQ(fixture.engine_client().active_attempts(), 0u);
+  EXPECT_EQ(fixture.engine_client().counters().results_delayed, static_cast<uint64_t>(kAttempts - 1));
+  EXPECT_EQ(fixture.result_memory().peak_bytes(), kMaxResultBytes);
+  EXPECT_EQ(fixture.result_memory().used_bytes(), 0u);
+  EXPECT_EQ(engine.request_count("DELETE"), 0u);
+  for (int i = 1; i <= kAttempts; ++i) {
+    const std::string tag = make_request_id(i);
+    TimeUs last_call_at = 0;
+    size_t fetched_pages = 0;
+    for (const ScriptedEngine::ReceivedRequest& received : engine.received_requests) {
+      const bool is_start = http::field_value(received.request.fields, "x-ticket") == tag;
+      if (!is_start && received.request.target.find(tag) == std::string::npos) continue;
+      const TimeUs unasked_for = last_call_at > 0 ? received.received_at - last_call_at : 0;
+      EXPECT_LT(unasked_for, platform::kAbandonTimeoutUs) << tag;
+      last_call_at = received.received_at;
+      fetched_pages += !is_start && !received.request.target.ends_with("/0");
+    }
+    EXPECT_EQ(fetched_pages, kPages - 1) << tag;
+  }
+}
+
+// A result that waits for memory leaves its place to the next one when its request is cancelled.
+TEST(EngineClient, CancelledResultNoLongerWaitsForMemory) {
+  constexpr size_t kPages = 2;
+  PlatformFixture fixture(20, 4, 7, 4 << 20, platform::kMaxPageBytes);
+  ScriptedEngine& engine = fixture.add_engine();
+  engine.execution_time_us = 10 * kMs;
+  engine.result_pages.assign(kPages, "a\t1\tx\n");
+  bool is_last_page_withheld = true;
+  engine.script = [&](const ScriptedEngine::ReceivedRequest& received) -> std::optional<ScriptedResponse> {
+    if (!is_last_page_withheld || !received.request.target.ends_with("/1")) return std::nullopt;
+    return ScriptedResponse{"", 0, false, true};
+  };
+  fixture.publish_endpoints();
+  for (const int number : {1, 2, 3}) {
+    fixture.engine_client().start({static_cast<RequestId>(number), 0}, fixture.engine_id(engine),
+                                  make_spec(make_request_id(number), 60 * kSecond));
+    fixture.run_for(50 * kMs);
+  }
+  ASSERT_EQ(fixture.engine_client().counters().results_delayed, 2u);
+  fixture.engine_client().cancel({2, 0});
+  is_last_page_withheld = false;
+  fixture.engine_client().cancel({1, 0});
+  fixture.run_for(100 * kMs);
+  EXPECT_EQ(fixture.engine_client().active_attempts(), 0u);
+  EXPECT_EQ(engine.request_count("GET /v2/q/" + make_request_id(2) + "/1"), 0u);
+  EXPECT_EQ(engine.request_count("GET /v2/q/" + make_request_id(3) + "/1"), 1u);
+  EXPECT_EQ(fixture.result_memory().used_bytes(), 0u);
+}
+
 }  // namespace
 }  // namespace sablelink::test
--- a/tests/platform/platform_harness.h
+++ b/tests/platform/platform_harness.h
@@ -200,8 +200,11 @@
 class PlatformFixture {
  public:
   explicit PlatformFixture(size_t max_client_connections = 20, size_t max_engine_connections = 40,
-                           uint64_t seed = 7, size_t request_memory_bytes = 4 << 20)
-      : world_(seed, event_log_), memory_(std::make_shared<platform::MemoryBudget>(request_memory_bytes)) {
+                           uint64_t seed = 7, size_t request_memory_bytes = 4 << 20,
+                           size_t result_memory_bytes = 4 << 20)
+      : world_(seed, event_log_),
+        memory_(std::make_shared<platform::MemoryBudget>(request_memory_bytes)),
+        result_memory_(std::make_shared<platform::MemoryBudget>(result_memory_bytes)) {
     settings_.max_attempts = 6;
     options_.class_names = {"lookup", "report"};
     options_.tenant_names = {"north", "south"};
@@ -212,6 +215,7 @@
     engine_options.budget.engines = max_engine_connections;
     engine_options.class_names = options_.class_names;
     engine_options.memory = memory_;
+    engine_options.result_memory = result_memory_;
     engine_client_ =
         std::make_unique<platform::EngineClient>(engine_options, dialer_, *actor_, endpoint_registry_, log_);
     dispatcher_ = std::make_unique<dispatch::RequestDispatcher>(
@@ -296,6 +300,7 @@
   sim::Streams& streams() { return streams_; }
   platform::EngineClient& engine_client() { return *engine_client_; }
   const platform::MemoryBudget& memory() const { return *memory_; }
+  const platform::MemoryBudget& result_memory() const { return *result_memory_; }
   platform::HttpServer& http_server() { return *http_server_; }
   dispatch::RequestDispatcher& dispatcher() { return *dispatcher_; }
   const CountingLog& log() const { return log_; }
@@ -341,6 +346,7 @@
   std::shared_ptr<sim::Actor> client_ = sim::Actor::make(world_, "client");
   SimulatedDialer dialer_{world_, streams_, actor_};
   const std::shared_ptr<platform::MemoryBudget> memory_;
+  const std::shared_ptr<platform::MemoryBudget> result_memory_;
   CountingLog log_;
   StaticEndpointSource endpoint_source_;
   Settings settings_ = plain_settings();
--- a/tests/service/platform_process_test.cpp
+++ b/tests/service/platform_process_test.cpp
@@ -33,7 +33,7 @@
         std::filesystem::temp_directory_path() / ("sablelink-platform-" + std::to_string(::getpid()));
     std::filesystem::create_directories(directory_);
     listen_ = badday::free_address();
-    engine_ = listen([this](StreamPtr stream) { return serve_engine(std::move(stream)); });
+    add_engines(1);
     old_changelog_ = listen([this](StreamPtr stream) { return serve_changelog(std::move(stream), "old"); });
     new_changelog_ = listen([this](StreamPtr stream) { return serve_changelog(std::move(stream), "new"); });
     write_config(old_changelog_);
@@ -54,19 +54,40 @@
     return "127.0.0.1:" + std::to_string(network_->listen("127.0.0.1:0", std::move(serve)));
   }
 
+  void add_engines(size_t count) {
+    for (size_t i = 0; i < count; ++i)
+      engines_.push_back(listen([this](StreamPtr stream) { return serve_engine(std::move(stream)); }));
+  }
+  // The engines as entries of the change log's event.
+  std::string engine_list() const {
+    std::string hosts;
+    for (size_t i = 0; i < engines_.size(); ++i)
+      hosts += R"({"host":"s-)" + std::to_string(i) + R"(","dial":")" + engines_[i] +
+               R"(","site":"east","class":"std","block":0,"health":"ready","share":1,"born_ms":0},)";
+    return hosts;
+  }
+
   void write_config(const std::string& changelog) {
     std::ofstream(directory_ / "config.json")
         << R"({"name":"n0","listen":")" << listen_ << R"(","seed":"8c1f30d27a5be964","limits":{"cores":1,)"
         << R"("memory_mb":)" << memory_mb_ << R"(,"sockets":)" << max_descriptors_ << R"(},"changelog":")"
-        << changelog
-        << R"(","known":{"seq":1,"results":[{"seq":1,"fleet":{"whole":true,"hosts":[{"host":"s-1","dial":")"
-        << engine_ << R"(","site":"east","class":"std","block":0,"health":"ready","share":1,"born_ms":0},)"
-        << R"({"host":"s-2","dial":"no address","health":"ready"}]}}]},)"
+        << changelog << R"(","known":{"seq":1,"results":[{"seq":1,"fleet":{"whole":true,"hosts":[)"
+        << engine_list() << R"({"host":"s-none","dial":"no address","health":"ready"}]}}]},)"
         << R"("settings":{"Zones":["east"],"Flavors":["std"],"Instances":1,"TickUs":1000,)"
         << R"("Limits":{"Cancel":true,"MaxAttempts":3},)"
         << R"("Services":[{"Name":"lookup","AimUs":9000000,"DeadlineUs":)" << request_timeout_us_ << "}]}}";
   }
 
+  // The page that a call to the engine fetches: "GET /v2/q/ID/N". A start is answered with page 0.
+  static size_t page_number(const http::Request& request) {
+    return request.method == "GET" ? std::stoul(request.target.substr(request.target.rfind('/') + 1)) : 0;
+  }
+  std::string result_page(size_t page) const {
+    http::Fields fields = {{"Page-No", std::to_string(page)}};
+    if (page == 0) fields = {{"Page-Count", std::to_string(result_page_count_)}};
+    return http::serialize_response(200, fields, result_page_rows_, true);
+  }
+
   // Each statement takes service_time_us_; the response is sent on the call that started it.
   rpc::Awaitable<void> serve_engine(StreamPtr stream) {
     http::RequestReader reader{http::MessageLimits{}};
@@ -77,8 +98,15 @@
       const http::Request request = reader.take_message();
       if (request.method == "POST") ++statements_started_;
       if (engine_hangs_) continue;
+      if (request.method == "DELETE") {
+        const std::string confirmation = http::serialize_response(204, {}, "", true);
+        co_await rpc::write_all(*stream, confirmation);
+        continue;
+      }
       if (service_time_us_ > 0) co_await sleep_for(loop_, service_time_us_);
-      const std::string response = http::serialize_response(200, {{"Page-Count", "1"}}, "a\tb\tc\n", true);
+      const size_t page = page_number(request);
+      if (page > 0 && page == withheld_page_) continue;
+      const std::string response = result_page(page);
       co_await rpc::write_all(*stream, response);
     }
   }
@@ -168,8 +196,8 @@
   rpc::AsioLoop loop_{[] { return std::chrono::system_clock::now(); },
                       [] { return std::chrono::steady_clock::now(); }};
   std::unique_ptr<rpc::TcpTransport> network_ = std::make_unique<rpc::TcpTransport>(loop_);
-  std::string listen_;  // the gateway's address
-  std::string engine_;  // addresses of the test's own servers
+  std::string listen_;                // the gateway's address
+  std::vector<std::string> engines_;  // addresses of the test's own servers
   std::string old_changelog_;
   std::string new_changelog_;
   size_t memory_mb_ = 64;
@@ -177,6 +205,9 @@
   TimeUs service_time_us_ = 0;
   TimeUs request_timeout_us_ = 20 * kSecond;
   bool engine_hangs_ = false;  // the engine reads calls but never responds
+  size_t result_page_count_ = 1;
+  std::string result_page_rows_ = "a\tb\tc\n";
+  size_t withheld_page_ = 0;  // the engine does not respond to calls for this page; 0: none
   int statements_started_ = 0;
   int open_watch_count_ = 0;
   bool is_stopping_ = false;
@@ -282,6 +313,39 @@
   EXPECT_EQ(small, 200);
 }
 
+// Guards against a gateway that is killed for memory because the pages of many large results arrive while the
+// last page of each is missing.
+TEST_F(PlatformProcess, IncompleteLargeResults_DoNotExceedTheMemoryLimit) {
+  constexpr int kClients = 330;
+  constexpr size_t kEngines = 120;
+  constexpr size_t kPageBytes = 6'000;
+  constexpr size_t kPages = 8;
+  const std::string row = "a\tb\tc\n";
+  memory_mb_ = 32;
+  max_descriptors_ = 1'024;
+  result_page_count_ = kPages;
+  result_page_rows_.clear();
+  while (result_page_rows_.size() + row.size() <= kPageBytes) result_page_rows_ += row;
+  withheld_page_ = kPages - 1;
+  add_engines(kEngines - 1);
+  write_config(old_changelog_);
+  start();
+  std::vector<int> statuses(kClients);
+  for (int client = 0; client < kClients; ++client)
+    start_request(statement_request(client + 1, "15000"), &statuses[client]);
+  size_t peak_kb = 0;
+  const TimeUs released_at = loop_.now() + 3 * kSecond;
+  EXPECT_TRUE(run_until([&] {
+    peak_kb = std::max(peak_kb, private_memory_kb());
+    if (loop_.now() >= released_at) withheld_page_ = 0;
+    return std::count(statuses.begin(), statuses.end(), -1) == 0;
+  }));
+  EXPECT_GT(peak_kb, 0u);
+  EXPECT_LT(peak_kb, memory_mb_ * 1024);
+  EXPECT_GT(std::count(statuses.begin(), statuses.end(), 200), 0);
+  EXPECT_EQ(std::count(statuses.begin(), statuses.end(), 0), 0);
+}
+
 TEST_F(PlatformProcess, UnreadableConfiguration_ExitsWithStatus1) {
   std::ofstream(directory_ / "config.json") << "{\"name\":7}";
   process_ = std::make_unique<badday::Process>(
