Fix streams that outlive a transport with its own I/O thread

Gateways run their sockets on an AsioLoop, which isn't affected.

Cause, by a debugger: coroutines of served streams end on the strand after the transport's destructor and close their streams through its io_context, which is gone.

Change: sockets share the SocketExecutor that owns the io_context, and start nothing on it once the transport is destroyed.

--- a/src/rpc/tcp_socket.cpp
+++ b/src/rpc/tcp_socket.cpp
@@ -30,7 +30,7 @@
   AsyncEvent on_completed;
 };
 
-TcpSocket::TcpSocket(TcpContext context) : context_(std::move(context)), socket_(context_.io) {}
+TcpSocket::TcpSocket(TcpContext context) : context_(std::move(context)), socket_(context_.executor->io()) {}
 
 std::function<void(error_code, size_t)> TcpSocket::completion_handler(std::shared_ptr<Operation> operation) {
   return [self = shared_from_this(), operation = std::move(operation)](error_code error,
@@ -46,10 +46,11 @@
 
 Awaitable<error_code> TcpSocket::connect(tcp::endpoint endpoint) {
   const auto operation = std::make_shared<Operation>();
-  context_.run_on_io([self = shared_from_this(), operation, endpoint] {
+  const bool is_started = context_.executor->run([self = shared_from_this(), operation, endpoint] {
     self->socket_.async_connect(endpoint, [on_completed = self->completion_handler(operation)](
                                               error_code error) { on_completed(error, 0); });
   });
+  if (!is_started) co_return asio::error::operation_aborted;
   co_await operation->on_completed.wait();
   co_return operation->error;
 }
@@ -57,9 +58,10 @@
 Awaitable<std::optional<std::string>> TcpSocket::read(size_t max_bytes) {
   const auto operation = std::make_shared<Operation>();
   operation->bytes.resize(std::clamp<size_t>(max_bytes, 1, kMaxOperationBytes));
-  context_.run_on_io([self = shared_from_this(), operation] {
+  const bool is_started = context_.executor->run([self = shared_from_this(), operation] {
     self->socket_.async_read_some(asio::buffer(operation->bytes), self->completion_handler(operation));
   });
+  if (!is_started) co_return std::nullopt;
   pending_read_ = operation;
   co_await operation->on_completed.wait();
   pending_read_.reset();
@@ -75,9 +77,10 @@
 Awaitable<size_t> TcpSocket::write(std::string_view bytes) {
   const auto operation = std::make_shared<Operation>();
   operation->bytes = bytes.substr(0, kMaxOperationBytes);
-  context_.run_on_io([self = shared_from_this(), operation] {
+  const bool is_started = context_.executor->run([self = shared_from_this(), operation] {
     self->socket_.async_write_some(asio::buffer(operation->bytes), self->completion_handler(operation));
   });
+  if (!is_started) co_return 0;
   co_await operation->on_completed.wait();
   co_return operation->error ? 0 : operation->transferred_bytes;
 }
@@ -90,7 +93,7 @@
 bool TcpSocket::peer_closed() const { return peer_closed_ || has_pending_event(POLLRDHUP); }
 
 void TcpSocket::shutdown_write() {
-  context_.run_on_io([self = shared_from_this()] {
+  context_.executor->run([self = shared_from_this()] {
     error_code ignored;
     self->write_shut_down_ = true;
     self->socket_.shutdown(tcp::socket::shutdown_send, ignored);
@@ -98,11 +101,11 @@
 }
 
 void TcpSocket::close() {
-  context_.run_on_io([self = shared_from_this()] { self->close_on_io(); });
+  context_.executor->run([self = shared_from_this()] { self->close_on_io(); });
 }
 
 void TcpSocket::reset() {
-  context_.run_on_io([self = shared_from_this()] {
+  context_.executor->run([self = shared_from_this()] {
     self->write_shut_down_ = false;
     self->close_on_io();
   });
@@ -123,7 +126,7 @@
 
 // Polls the socket for an event without waiting. Always false where another thread may close the socket.
 bool TcpSocket::has_pending_event(short events) const {
-  if (!context_.io_is_strand || !socket_.is_open()) return false;
+  if (!context_.executor->is_strand() || !socket_.is_open()) return false;
   pollfd descriptor{const_cast<tcp::socket&>(socket_).native_handle(), events, 0};
   return ::poll(&descriptor, 1, 0) > 0 && (descriptor.revents & (events | POLLERR | POLLHUP)) != 0;
 }
--- a/src/rpc/tcp_socket.h
+++ b/src/rpc/tcp_socket.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -17,23 +18,51 @@
 
 namespace sablelink::rpc {
 
-/// The io_context on which the sockets of a transport run, and the way in which results are passed to the
-/// strand that uses their streams.
-struct TcpContext {
-  boost::asio::io_context& io;
+/// The io_context on which the sockets of a transport run. Shared by the sockets, since streams may be used
+/// and destroyed after their transport.
+class SocketExecutor {
+ public:
+  /// Creates an io_context, which the owner must run on a thread of its own.
+  SocketExecutor() : own_io_(std::make_unique<boost::asio::io_context>()), io_(*own_io_) {}
+  /// Uses the io_context on whose thread the strand runs. It must outlive this object.
+  explicit SocketExecutor(boost::asio::io_context& strand_io) : io_(strand_io) {}
+
+  boost::asio::io_context& io() { return io_; }
   /// Whether the strand runs on the io_context's thread, so that nothing has to be passed between threads.
-  bool io_is_strand;
-  std::function<void(std::function<void()>)> post_to_strand;
+  bool is_strand() const { return !own_io_; }
 
-  /// Runs fn on the io_context's thread: immediately if the strand runs there, else later.
+  /// Runs fn on the io_context's thread: immediately if the strand runs there, else later. Returns false and
+  /// does not run fn after close().
   template <typename Fn>
-  void run_on_io(Fn fn) const {
-    if (io_is_strand) {
+  bool run(Fn fn) {
+    if (is_strand()) {
       fn();
-    } else {
-      boost::asio::post(io, std::move(fn));
+      return true;
     }
+    const std::lock_guard lock(mutex_);
+    if (closed_) return false;
+    boost::asio::post(io_, std::move(fn));
+    return true;
+  }
+
+  /// Ends run() where the io_context has a thread of its own, which is about to end.
+  void close() {
+    const std::lock_guard lock(mutex_);
+    closed_ = true;
   }
+
+ private:
+  const std::unique_ptr<boost::asio::io_context> own_io_;  // null: the strand's io_context is used
+  boost::asio::io_context& io_;
+  std::mutex mutex_;  // for closed_, and the order of run() and close()
+  bool closed_ = false;
+};
+
+/// Where the sockets of a transport run, and the way in which results are passed to the strand that uses
+/// their streams.
+struct TcpContext {
+  std::shared_ptr<SocketExecutor> executor;
+  std::function<void(std::function<void()>)> post_to_strand;
 };
 
 /// connect() and the methods of ByteStream must be called on the strand, the others on the io_context's
--- a/src/rpc/tcp_transport.cpp
+++ b/src/rpc/tcp_transport.cpp
@@ -76,8 +76,8 @@
  public:
   Listener(TcpTransport& transport, const tcp::endpoint& endpoint, StreamHandler handler)
       : transport_(transport),
-        acceptor_(transport.context_.io, endpoint),
-        retry_timer_(transport.context_.io),
+        acceptor_(transport.context_.executor->io(), endpoint),
+        retry_timer_(transport.context_.executor->io()),
         handler_(std::move(handler)) {}
 
   int port() const { return acceptor_.local_endpoint().port(); }
@@ -158,23 +158,24 @@
 
 TcpTransport::TcpTransport(Strand strand)
     : strand_(std::move(strand)),
-      own_io_(std::make_unique<asio::io_context>()),
-      context_{*own_io_, false, strand_.post},
-      work_guard_(own_io_->get_executor()),
+      context_{std::make_shared<SocketExecutor>(), strand_.post},
+      work_guard_(context_.executor->io().get_executor()),
       cleanup_threshold_(kMinCleanupThreshold),
-      io_thread_([this] { own_io_->run(); }) {}
+      io_thread_([executor = context_.executor] { executor->io().run(); }) {}
 
 TcpTransport::TcpTransport(AsioLoop& loop)
     : strand_{loop.executor(), [](const std::function<void()>& fn) { fn(); }, loop},
-      context_{loop.context(), true, strand_.post},
+      context_{std::make_shared<SocketExecutor>(loop.context()), strand_.post},
       cleanup_threshold_(kMinCleanupThreshold) {}
 
 TcpTransport::~TcpTransport() {
-  if (!own_io_) {
+  if (context_.executor->is_strand()) {
     close_all();
     return;
   }
-  asio::post(*own_io_, [this] { close_all(); });
+  // Nothing is started after close_all(), so that every operation completes.
+  context_.executor->close();
+  asio::post(context_.executor->io(), [this] { close_all(); });
   work_guard_.reset();
   io_thread_.join();
 }
@@ -208,7 +209,7 @@
     throw ListenError("can't listen at " + address + ": " + e.code().message());
   }
   const int port = listener->port();
-  context_.run_on_io([this, listener] {
+  context_.executor->run([this, listener] {
     listeners_.push_back(listener);
     listener->accept_next();
   });
@@ -216,7 +217,7 @@
 }
 
 void TcpTransport::stop_listening() {
-  context_.run_on_io([this] {
+  context_.executor->run([this] {
     for (const auto& listener : listeners_) listener->stop();
   });
 }
@@ -229,7 +230,7 @@
     co_return ConnectResult{ConnectStatus::kFailed, nullptr};
   }
   const std::shared_ptr<TcpSocket> socket = make_socket();
-  context_.run_on_io([this, socket] { register_socket(socket); });
+  context_.executor->run([this, socket] { register_socket(socket); });
   const auto completed = std::make_shared<bool>(false);
   strand_.clock.call_after(timeout_us, [weak_socket = std::weak_ptr<TcpSocket>(socket), completed] {
     const std::shared_ptr<TcpSocket> pending = weak_socket.lock();
@@ -238,7 +239,7 @@
   const error_code error = co_await socket->connect(*endpoint);
   *completed = true;
   if (error) co_return ConnectResult{connect_status(error), nullptr};
-  context_.run_on_io([socket] { socket->disable_nagle(); });
+  context_.executor->run([socket] { socket->disable_nagle(); });
   co_return ConnectResult{ConnectStatus::kConnected, std::make_shared<OwnedStream>(socket)};
 }
 
--- a/src/rpc/tcp_transport.h
+++ b/src/rpc/tcp_transport.h
@@ -38,8 +38,9 @@
   /// Runs the sockets on the loop's thread. Must be constructed and destroyed on the loop, or while the loop
   /// isn't running.
   explicit TcpTransport(AsioLoop& loop);
-  /// Closes every socket. With a separate I/O thread, this waits until every operation has completed and must
-  /// not be called on the strand. On an AsioLoop, the operations complete when the loop continues to run.
+  /// Closes every socket; the streams may be destroyed later. With a separate I/O thread, this waits until
+  /// every operation has completed and must not be called on the strand. On an AsioLoop, the operations
+  /// complete when the loop continues to run.
   ~TcpTransport() override;
   TcpTransport(const TcpTransport&) = delete;
   TcpTransport& operator=(const TcpTransport&) = delete;
@@ -62,7 +63,6 @@
   void close_all();
 
   const Strand strand_;
-  std::unique_ptr<boost::asio::io_context> own_io_;  // nullptr on an AsioLoop
   const TcpContext context_;
   std::optional<boost::asio::executor_work_guard<boost::asio::io_context::executor_type>> work_guard_;
   // The following are used only on the io_context's thread.
--- a/tests/stream_test.cpp
+++ b/tests/stream_test.cpp
@@ -318,6 +318,38 @@
   EXPECT_EQ(status, rpc::ConnectStatus::kFailed);
 }
 
+// Guards against the use of a transport's I/O context after its destruction: coroutines that serve a
+// connection end only after their transport.
+TEST(TcpTransport, StreamOnAnotherThread_OutlivesTheTransport) {
+  rpc::GrpcLoop loop([] { return std::chrono::system_clock::now(); },
+                     [] { return std::chrono::steady_clock::now(); });
+  auto transport = std::make_unique<rpc::TcpTransport>(
+      rpc::Strand{loop.executor(), [&loop](const std::function<void()>& fn) { loop.post(fn); }, loop});
+  const std::string address =
+      "127.0.0.1:" + std::to_string(transport->listen("127.0.0.1:0", [](StreamPtr s) -> Awaitable<void> {
+        const std::optional<std::string> piece = co_await s->read(100);
+        EXPECT_EQ(piece, std::nullopt);
+      }));
+  StreamPtr stream;
+  const auto connect = [&]() -> Awaitable<void> {
+    const rpc::ConnectResult connected = co_await transport->connect(address, 5 * kSecond);
+    stream = connected.stream;
+  };
+  loop.spawn(connect()).get();
+  ASSERT_NE(stream, nullptr);
+  transport.reset();
+  const auto use_and_close = [&]() -> Awaitable<void> {
+    const std::optional<std::string> piece = co_await stream->read(100);
+    EXPECT_EQ(piece, std::nullopt);
+    const size_t written = co_await stream->write("late");
+    EXPECT_EQ(written, 0u);
+    stream->shutdown_write();
+    stream.reset();
+  };
+  loop.spawn(use_and_close()).get();
+  EXPECT_EQ(stream, nullptr);
+}
+
 TEST(TcpTransport, InvalidAddress_IsNamedInTheError) {
   rpc::GrpcLoop loop([] { return std::chrono::system_clock::now(); },
                      [] { return std::chrono::steady_clock::now(); });
