Fix a cut-off result without a length being served as the whole

Callers would see: rows missing with status 200, where an engine's answer has neither Content-Length nor chunks and its connection ends early.

Cause: such an answer ends with its connection, and nothing else marks its end.

Change: a page without a length is used once a second answer to the call for it is the same. Total engine_results_without_length. Why it works: the engine has the whole result, and a second answer shows whether the first one was it.

Tests: ResultWithoutLengthThatIsCutOffIsRequestedAgain failed before, for starts, polls and pages, and passes; an engine that never sends lengths is served, with twice the calls.

--- a/src/http/message.h
+++ b/src/http/message.h
@@ -30,6 +30,9 @@
   Fields fields;
   std::string body;
   bool keep_alive = true;  // whether the server accepts another request on the connection
+  /// Whether the message tells where its content ends. If not, it ends with the connection, and content that
+  /// is cut off can't be told from the whole.
+  bool has_known_length = true;
 };
 
 /// Serializes a request. Adds Host, and Content-Length if the method or the body requires it. Names and
--- a/src/http/reader.cpp
+++ b/src/http/reader.cpp
@@ -251,6 +251,7 @@
   if (is_request()) return complete();
   part_ = Part::kContentUntilClose;
   response_.keep_alive = false;
+  response_.has_known_length = false;
   return true;
 }
 
--- a/src/platform/engine_client/connection_pool.cpp
+++ b/src/platform/engine_client/connection_pool.cpp
@@ -27,7 +27,6 @@
 // sends a response in one piece, whose parts follow each other closely.
 constexpr TimeUs kTrailingBytesDelayUs = 1'000;
 constexpr size_t kReadBytes = 8 << 10;
-constexpr int kStatusOk = 200;
 
 // Values of the log field "reason".
 std::string_view failure_name(CallFailure failure) {
--- a/src/platform/engine_client/engine_attempt.cpp
+++ b/src/platform/engine_client/engine_attempt.cpp
@@ -1,5 +1,8 @@
 #include "platform/engine_client/engine_attempt.h"
 
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
 #include <utility>
 
 #include "platform/pages.h"
@@ -106,6 +109,12 @@
   return {AttemptStep::Type::kComplete, Outcome::kOk};
 }
 
+bool EngineAttempt::confirm_page(int page, std::string_view content) {
+  const uint64_t hash = XXH3_64bits(content.data(), content.size());
+  const auto [it, is_first] = unconfirmed_pages_.try_emplace(page, hash);
+  return !is_first && std::exchange(it->second, hash) == hash;
+}
+
 void EngineAttempt::reserve_result() { result_reservation_.resize(pages_.size() * kMaxPageBytes); }
 
 std::string EngineAttempt::joined_rows() const {
--- a/src/platform/engine_client/engine_attempt.h
+++ b/src/platform/engine_client/engine_attempt.h
@@ -2,9 +2,12 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/backoff.h"
@@ -81,6 +84,9 @@
   /// when the poll was sent, and true for the response to the start.
   AttemptStep on_poll_response(PollResponse response, bool start_was_settled);
   AttemptStep on_page_response(int page, PageResponse response);
+  /// Handles a page that may have been cut off, since the response has no length. Returns whether the last
+  /// such response with this page was the same, so that the page can be used.
+  bool confirm_page(int page, std::string_view content);
   int page_count() const { return static_cast<int>(pages_.size()); }
   /// Reserves memory for as many bytes as the result can have, until the attempt is finished.
   void reserve_result();
@@ -138,6 +144,7 @@
       pages_;  // as received, which is shorter than JSON; empty until then
   MemoryReservation result_reservation_;
   size_t missing_page_count_ = 0;
+  std::map<int, uint64_t> unconfirmed_pages_;  // hashes of the content by page, see confirm_page()
 };
 
 }  // namespace sablelink::platform
--- a/src/platform/engine_client/engine_client.cpp
+++ b/src/platform/engine_client/engine_client.cpp
@@ -133,8 +133,19 @@
   return make_fetch_request(attempt.client_tag(), call.page);
 }
 
+// Whether the response is a result without a length that no second response has confirmed.
+bool EngineClient::is_cut_off_possible(const EngineCall& call, const http::Response& response) {
+  if (response.status != kStatusOk || response.has_known_length) return false;
+  ++counters_.results_without_length;
+  return !call.attempt->confirm_page(call.page, response.body);
+}
+
 void EngineClient::on_response(EngineCall call, const http::Response& response) {
   const AttemptPtr attempt = call.attempt;
+  if (is_cut_off_possible(call, response)) {
+    discard_result(std::move(call));
+    return;
+  }
   switch (call.type) {
     case CallType::kCancel:
       on_cancel_response(call, response);
@@ -187,6 +198,8 @@
 void EngineClient::on_late_response(EngineCall call, const http::Response& response) {
   if (call.type == CallType::kCancel) {
     on_cancel_response(call, response);
+  } else if (is_cut_off_possible(call, response)) {
+    on_late_start_read(call.attempt);
   } else {
     on_late_start_response(std::move(call), parse_poll_response(response));
   }
@@ -297,8 +310,7 @@
       }
       return;
     case CallFailure::kTrailingBytes:
-      if (call.type == CallType::kStart) call.attempt->on_start_read();
-      retry(std::move(call));
+      discard_result(std::move(call));
       return;
     case CallFailure::kMalformed:
       retry(std::move(call));
@@ -313,6 +325,12 @@
   }
 }
 
+// The result in the response to the call may be a part. The engine still has the whole: the call is repeated.
+void EngineClient::discard_result(EngineCall call) {
+  if (call.type == CallType::kStart) call.attempt->on_start_read();
+  retry(std::move(call));
+}
+
 // Repeats a call that ended without a valid response. A second start call could execute the statement twice;
 // a poll returns the state of the first one.
 void EngineClient::retry(EngineCall call) {
--- a/src/platform/engine_client/engine_client.h
+++ b/src/platform/engine_client/engine_client.h
@@ -86,12 +86,14 @@
   void on_cancel_refused(const AttemptPtr& attempt);
   void on_cancel_response(const EngineCall& call, const http::Response& response);
   void on_late_start_response(EngineCall call, PollResponse poll);
+  bool is_cut_off_possible(const EngineCall& call, const http::Response& response);
   void on_late_start_read(const AttemptPtr& attempt);
   void on_poll_response(EngineCall call, PollResponse poll);
   void apply_step(EngineCall call, const AttemptStep& step);
   void poll_later(const AttemptPtr& attempt);
   void fetch_pages(const AttemptPtr& attempt);
   void keep_alive(const AttemptPtr& attempt);
+  void discard_result(EngineCall call);
   void retry(EngineCall call);
   void schedule_cancel(const AttemptPtr& attempt, TimeUs delay);
   void complete(const AttemptPtr& attempt, Outcome outcome);
--- a/src/platform/engine_client/engine_protocol.cpp
+++ b/src/platform/engine_client/engine_protocol.cpp
@@ -86,7 +86,7 @@
       out.status = PollResponse::Status::kRunning;
       out.progress = parse_progress(response);
       break;
-    case 200:
+    case kStatusOk:
       parse_complete_response(response, out);
       break;
     case 503:
@@ -104,7 +104,7 @@
 
 PageResponse parse_page_response(const http::Response& response, int expected_page) {
   if (response.status == 500) return {PageResponse::Status::kFailed, {}};
-  if (response.status != 200) return {};
+  if (response.status != kStatusOk) return {};
   if (http::parse_decimal(http::field_value(response.fields, "page-no"), kMaxPages) != expected_page)
     return {};
   if (!is_valid_page(response.body)) return {};
--- a/src/platform/engine_client/engine_protocol.h
+++ b/src/platform/engine_client/engine_protocol.h
@@ -19,6 +19,9 @@
 /// Time without calls after which an engine abandons an attempt, that is, ends it.
 constexpr TimeUs kAbandonTimeoutUs = 2'000'000;
 
+/// Status of a response that contains a page of a result.
+constexpr int kStatusOk = 200;
+
 /// Request that starts an attempt. `remaining_us` is the remaining timeout, which is sent in whole
 /// milliseconds, rounded up and at least 1. `class_name` is the platform's name of the workload class.
 http::Request make_start_request(const dispatch::AttemptSpec& spec, const std::string& class_name,
--- a/src/service/platform_service.cpp
+++ b/src/service/platform_service.cpp
@@ -196,6 +196,7 @@
               {"engine_calls_interrupted", std::to_string(engines.calls_interrupted)},
               {"engine_responses_malformed", std::to_string(engines.malformed_responses)},
               {"engine_responses_with_trailing_bytes", std::to_string(engines.trailing_bytes)},
+              {"engine_results_without_length", std::to_string(engines.results_without_length)},
               {"engine_calls_timed_out", std::to_string(engines.calls_timed_out)},
               {"engine_starts_overdue", std::to_string(engines.starts_overdue)},
               {"engine_starts_unread", std::to_string(engines.starts_unread)},
--- a/tests/platform/engine_client/connection_pool_test.cpp
+++ b/tests/platform/engine_client/connection_pool_test.cpp
@@ -153,6 +153,85 @@
   }
 }
 
+// Returns the response without Content-Length and with `content`, which then ends with the connection.
+std::string without_length(const std::string& response, const std::string& content) {
+  const size_t from = response.find("Content-Length: ");
+  const size_t end = response.find("\r\n", from) + 2;
+  return response.substr(0, from) + response.substr(end, response.find("\r\n\r\n") + 4 - end) + content;
+}
+
+// Guards against a part of a result that is served as the whole: a page of any number without a length that
+// is cut off at the end of a row.
+TEST(ConnectionPool, ResultWithoutLengthThatIsCutOffIsRequestedAgain) {
+  const std::string first_row = "a\t1\tx\n";
+  for (const std::string target : {"/v2/q", "/0", "/1"}) {
+    PlatformFixture fixture;
+    ScriptedEngine& engine = fixture.add_engine();
+    engine.execution_time_us = target == "/0" ? 300 * kMs : 10 * kMs;
+    engine.result_pages = {first_row + "b\t2\ty\n", first_row + "c\t3\tz\n"};
+    bool was_cut_off = false;
+    engine.script = [&](const ScriptedEngine::ReceivedRequest& received) -> std::optional<ScriptedResponse> {
+      if (was_cut_off || !received.request.target.ends_with(target)) return std::nullopt;
+      was_cut_off = true;
+      if (received.request.method == "POST") engine.execute(received);
+      ScriptedResponse response{without_length(engine.page_response(target == "/1" ? 1 : 0), first_row)};
+      response.ends_stream = true;
+      return response;
+    };
+    fixture.publish_endpoints();
+    const auto response = fixture.send(PlatformFixture::make_query(make_request_id(1)));
+    fixture.run_for(kSecond);
+    EXPECT_TRUE(was_cut_off) << target;
+    EXPECT_EQ(response->status, 200) << target;
+    EXPECT_EQ(response->body, R"({"rows":[["a","1","x"],["b","2","y"],["a","1","x"],["c","3","z"]]})")
+        << target;
+    EXPECT_EQ(engine.request_count("POST"), 1u) << target;
+  }
+}
+
+// A page without a length is used once a second response to the call for it is the same.
+TEST(ConnectionPool, ResultOfAnEngineThatNeverSendsLengthsIsServed) {
+  PlatformFixture fixture;
+  ScriptedEngine& engine = fixture.add_engine();
+  engine.result_pages = {"a\t1\tx\n", "b\t2\ty\n"};
+  engine.script = [&](const ScriptedEngine::ReceivedRequest& received) -> std::optional<ScriptedResponse> {
+    if (received.request.method == "POST") engine.execute(received);
+    const size_t page = received.request.target.ends_with("/1") ? 1 : 0;
+    ScriptedResponse response{without_length(engine.page_response(page), engine.result_pages[page])};
+    response.ends_stream = true;
+    return response;
+  };
+  fixture.publish_endpoints();
+  const auto response = fixture.send(PlatformFixture::make_query(make_request_id(1)));
+  fixture.run_for(kSecond);
+  EXPECT_EQ(response->status, 200);
+  EXPECT_EQ(response->body, R"({"rows":[["a","1","x"],["b","2","y"]]})");
+  EXPECT_EQ(engine.request_count("POST"), 1u);
+  EXPECT_EQ(engine.received_requests.size(), 4u);
+  EXPECT_EQ(fixture.engine_client().counters().results_without_length, 4u);
+}
+
+// Guards against a next attempt that waits until its request's end: a late result without a length is not
+// used, but it proves that the start was read.
+TEST(ConnectionPool, LateResultWithoutLengthProvesThatItsStartWasRead) {
+  PlatformFixture fixture;
+  ScriptedEngine& engine = fixture.add_engine();
+  engine.result_pages = {"a\t1\tx\nb\t2\ty\n"};
+  engine.script = [&](const ScriptedEngine::ReceivedRequest& received) -> std::optional<ScriptedResponse> {
+    if (received.request.method != "POST") return std::nullopt;
+    engine.execute(received);
+    ScriptedResponse response{without_length(engine.page_response(0), "a\t1\tx\n"), 600 * kMs};
+    response.ends_stream = true;
+    return response;
+  };
+  fixture.publish_endpoints();
+  fixture.engine_client().start({7, 0}, fixture.engine_id(engine), make_spec(make_request_id(7)));
+  fixture.run_for(kSecond);
+  EXPECT_EQ(fixture.engine_client().counters().starts_overdue, 1u);
+  EXPECT_EQ(fixture.engine_client().active_attempts(), 0u);
+  EXPECT_EQ(engine.request_count("POST"), 1u);
+}
+
 // Guards against results that are lost because the engine closes the connection right after its response.
 TEST(ConnectionPool, ResultIsAcceptedIfTheEngineClosesTheConnectionAfterIt) {
   PlatformFixture fixture;
--- a/tests/platform/platform_harness.h
+++ b/tests/platform/platform_harness.h
@@ -57,6 +57,7 @@
   bool is_withheld = false;        // no response is sent, and the connection stays open
   std::string trailing_bytes{};    // sent 2 ms after the response
   bool is_unread = false;          // the request is not recorded, as if it had been lost in transit
+  bool ends_stream = false;        // nothing is sent on the connection after the bytes
 };
 
 /// An engine that follows the protocol unless its script returns another response to a request.
@@ -169,6 +170,7 @@
       co_await sleep_for(*actor_, 2 * kMs);
       co_await rpc::write_all(stream, response->trailing_bytes);
     }
+    if (response->ends_stream) stream.shutdown_write();
     if (response->closes_connection) stream.close();
     co_return !response->closes_connection;
   }
