Platform: a call's failure is typed in the log; one share of the memory limit

Need: the log took the reason as text, whose comment named others than are used, and three constants stated the same share.

Change: CallFailure and its names have a module of their own; the log takes the type. memory_share_bytes() for requests, results and responses. Behaviour and log are the same.

--- a/src/platform/engine_client/connection_pool.cpp
+++ b/src/platform/engine_client/connection_pool.cpp
@@ -28,25 +28,6 @@
 constexpr TimeUs kTrailingBytesDelayUs = 1'000;
 constexpr size_t kReadBytes = 8 << 10;
 
-// Values of the log field "reason".
-std::string_view failure_name(CallFailure failure) {
-  switch (failure) {
-    case CallFailure::kNotSent:
-      return "not_sent";
-    case CallFailure::kConnectionClosed:
-      return "connection_closed";
-    case CallFailure::kMalformed:
-      return "malformed";
-    case CallFailure::kTrailingBytes:
-      return "trailing_bytes";
-    case CallFailure::kTimedOut:
-      return "timeout";
-    case CallFailure::kRefused:
-      return "refused";
-  }
-  return "unknown";
-}
-
 // Whether a response contains a page of rows.
 bool is_result(CallType type, const http::Response& response) {
   return type != CallType::kCancel && response.status == kStatusOk;
@@ -363,7 +344,7 @@
     if (reason == CallFailure::kTrailingBytes) delegate_.on_late_result_discarded(*call);
   } else if (call) {
     ++counters_.calls_interrupted;
-    log_.call_interrupted({*call, engine->address, connection->number}, failure_name(reason));
+    log_.call_interrupted({*call, engine->address, connection->number}, reason);
     delegate_.on_call_failed(std::move(*call), reason);
   }
   dispatch(engine);
@@ -380,7 +361,7 @@
   if (type == CallType::kStart) ++counters_.starts_overdue;
   connection->is_overdue = true;
   const EngineCall call = *connection->pending_call;
-  log_.call_interrupted({call, engine->address, connection->number}, failure_name(CallFailure::kTimedOut));
+  log_.call_interrupted({call, engine->address, connection->number}, CallFailure::kTimedOut);
   limit_overdue_connections(*engine);
   delegate_.on_call_failed(call, CallFailure::kTimedOut);
   dispatch(engine);
--- a/src/platform/engine_client/connection_pool.h
+++ b/src/platform/engine_client/connection_pool.h
@@ -7,13 +7,13 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <string_view>
 
 #include "base/clock.h"
 #include "base/weak_ptr.h"
 #include "http/message.h"
 #include "membership/endpoint_registry.h"
 #include "platform/descriptor_budget.h"
+#include "platform/engine_client/call_failure.h"
 #include "platform/engine_client/call_queue.h"
 #include "platform/engine_client/engine_call_log.h"
 #include "platform/engine_client/engine_client_counters.h"
@@ -24,18 +24,6 @@
 
 namespace sablelink::platform {
 
-/// Reason why a call ended without a response.
-enum class CallFailure {
-  kNotSent,           // the engine is not ready for new attempts, or no connection could be established
-  kConnectionClosed,  // by the engine: whether it executed the call is unknown
-  kMalformed,         // the response is not valid HTTP
-  kTrailingBytes,     // bytes follow a result: it may be a part, with a content length that is too short
-  // No response in time. The connection of a start or of a cancellation stays open, see on_late_response();
-  // that of another call is closed.
-  kTimedOut,
-  kRefused,  // the engine refuses connections and none is open: it has ended or is at its connection limit
-};
-
 struct ConnectionPoolOptions {
   DescriptorBudget budget;
   TimeUs dial_timeout_us = 0;
--- a/src/platform/engine_client/engine_call_log.cpp
+++ b/src/platform/engine_client/engine_call_log.cpp
@@ -45,8 +45,8 @@
   write_call("engine_trailing_bytes", sent, "bytes", std::to_string(bytes));
 }
 
-void EngineCallLog::call_interrupted(const SentCall& sent, std::string_view reason) const {
-  write_call("engine_call_interrupted", sent, "reason", reason);
+void EngineCallLog::call_interrupted(const SentCall& sent, CallFailure reason) const {
+  write_call("engine_call_interrupted", sent, "reason", call_failure_name(reason));
 }
 
 void EngineCallLog::dial_failed(EngineId engine, const std::string& address, rpc::ConnectStatus status,
--- a/src/platform/engine_client/engine_call_log.h
+++ b/src/platform/engine_client/engine_call_log.h
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "base/log.h"
+#include "platform/engine_client/call_failure.h"
 #include "platform/engine_client/call_queue.h"
 #include "rpc/byte_stream.h"
 #include "workload/types.h"
@@ -30,8 +31,8 @@
   void call_completed(const SentCall& sent, int status) const;
   /// Bytes were received behind the content of the call's response.
   void trailing_bytes(const SentCall& sent, size_t bytes) const;
-  /// The call ended without a response. The reason is "timeout" or "connection_lost".
-  void call_interrupted(const SentCall& sent, std::string_view reason) const;
+  /// The call ended without a usable response.
+  void call_interrupted(const SentCall& sent, CallFailure reason) const;
 
   /// A connection to the engine could not be established. `pending_calls` calls wait for one.
   void dial_failed(EngineId engine, const std::string& address, rpc::ConnectStatus status,
--- a/src/service/platform_service.cpp
+++ b/src/service/platform_service.cpp
@@ -11,13 +11,17 @@
 namespace {
 
 constexpr TimeUs kIdlePollIntervalUs = 10'000;
-constexpr size_t kResponseMemoryDivisor = 8;  // responses may use one part in so many of the memory limit
-constexpr size_t kRequestMemoryDivisor = 8;   // the same for requests
-constexpr size_t kResultMemoryDivisor = 8;    // the same for results of engines until they are complete
+// Requests, results of engines until they are complete, and responses may each use one part in so many of the
+// memory limit.
+constexpr size_t kMemoryShareDivisor = 8;
 constexpr TimeUs kMemoryCheckIntervalUs = 100'000;
 constexpr size_t kLoggedMemoryStepBytes = 1 << 20;
 constexpr size_t kBytesPerKb = 1024;
 
+size_t memory_share_bytes(const platform::PlatformConfig& config) {
+  return (config.memory_mb << 20) / kMemoryShareDivisor;
+}
+
 platform::EngineClientOptions engine_client_options(const platform::PlatformConfig& config,
                                                     const platform::DescriptorBudget& budget,
                                                     std::shared_ptr<platform::MemoryBudget> memory,
@@ -35,7 +39,7 @@
 
 dispatch::DispatcherLimits dispatcher_limits(const platform::PlatformConfig& config) {
   dispatch::DispatcherLimits limits;
-  limits.total_buffer_bytes = (config.memory_mb << 20) / kResponseMemoryDivisor;
+  limits.total_buffer_bytes = memory_share_bytes(config);
   return limits;
 }
 
@@ -59,10 +63,8 @@
     : config_(std::move(config)),
       log_(make_json_log("gateway", log_level)),
       loop_(system.wall, system.steady),
-      request_memory_(
-          std::make_shared<platform::MemoryBudget>((config_.memory_mb << 20) / kRequestMemoryDivisor)),
-      result_memory_(
-          std::make_shared<platform::MemoryBudget>((config_.memory_mb << 20) / kResultMemoryDivisor)),
+      request_memory_(std::make_shared<platform::MemoryBudget>(memory_share_bytes(config_))),
+      result_memory_(std::make_shared<platform::MemoryBudget>(memory_share_bytes(config_))),
       network_(std::make_unique<rpc::TcpTransport>(loop_)) {
   const platform::DescriptorBudget budget = platform::DescriptorBudget::from_limit(config_.max_descriptors);
   endpoint_source_ = std::make_unique<RegistryEndpointSource>(
--- a/tests/platform/engine_client/engine_call_log_test.cpp
+++ b/tests/platform/engine_client/engine_call_log_test.cpp
@@ -31,7 +31,7 @@
   const platform::EngineCall call{platform::CallType::kStart, attempt};
   const std::string address = "10.0.0.1:10080";
   call_log.call_sent({call, address, 5});
-  call_log.call_interrupted({call, address, 5}, "timeout");
+  call_log.call_interrupted({call, address, 5}, platform::CallFailure::kTimedOut);
   call_log.trailing_bytes({call, address, 5}, 12);
   call_log.attempt_released(*attempt);
   const std::string attempt_fields = " tag=9b1f03aa5c7e2d41 request=7 attempt=1";
